--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::config::Config;
+use crate::counters::{self, Counters};
 use crate::discovery::{self, Endpoint, Update};
 use crate::upstream::{self, Call, Connection, Ended, Job};
 
@@ -115,6 +116,7 @@
     has_list: bool,
     watch: Option<AbortHandle>,
     watch_number: u64,
+    counters: Counters,
 }
 
 /// The state of a running balancer.
@@ -155,6 +157,7 @@
             has_list: false,
             watch: None,
             watch_number: 0,
+            counters: Counters::default(),
         };
         let driver = Rc::new(Self {
             core: RefCell::new(core),
@@ -181,6 +184,13 @@
                 sweeper.drop_old();
             }
         });
+        let teller = Rc::clone(&driver);
+        spawn_local(async move {
+            loop {
+                sleep(counters::EVERY).await;
+                teller.tell();
+            }
+        });
         Ok(driver)
     }
 
@@ -208,6 +218,24 @@
         self.classes.get(class.0)
     }
 
+    /// Writes what happened since the last time, and how things stand.
+    fn tell(&self) {
+        let mut core = self.core.borrow_mut();
+        let counters = std::mem::take(&mut core.counters);
+        let ready = core.listed.values().filter(|listed| listed.ready).count();
+        let idle: usize = core.kept.values().map(Vec::len).sum();
+        let out: u32 = core.requests.values().map(|held| held.out).sum();
+        crate::log(format_args!(
+            "{counters}; now: {} held, {out} attempts out, {idle} connections idle, {} of {} sockets, \
+             {ready} of {} upstreams ready, list {}",
+            core.requests.len(),
+            self.sockets.get(),
+            self.sockets_most,
+            core.listed.len(),
+            core.index,
+        ));
+    }
+
     fn now(&self) -> Time {
         CLOCK_LEAD + self.zero.elapsed()
     }
@@ -287,6 +315,11 @@
             .is_some_and(|listed| listed.ready && listed.address == address)
     }
 
+    /// Counts a connection to an upstream.
+    pub fn count_opened(&self) {
+        self.core.borrow_mut().counters.opened += 1;
+    }
+
     fn drop_old(&self) {
         let mut core = self.core.borrow_mut();
         for kept in core.kept.values_mut() {
@@ -303,6 +336,7 @@
             let mut core = self.core.borrow_mut();
             let id = RequestId(core.next_request);
             core.next_request += 1;
+            core.counters.taken += 1;
             let held = Held {
                 call: taken.call,
                 deadline: taken.deadline,
@@ -333,6 +367,7 @@
             if held.answer.take().is_none() {
                 return;
             }
+            core.counters.left += 1;
             core.release(id);
         }
         self.handle(Event::ClientLeft(id));
@@ -342,7 +377,9 @@
     pub fn attempt_ended(self: &Rc<Self>, job: &Job, ended: Ended) {
         let finished = {
             let mut core = self.core.borrow_mut();
-            let Some(held) = core.requests.get_mut(&job.request) else { return };
+            let Core { requests, counters, .. } = &mut *core;
+            let Some(held) = requests.get_mut(&job.request) else { return };
+            counters.attempt(ended.outcome, job.asked.elapsed());
             held.out -= 1;
             if let Some(withdraw) = held.attempts.get_mut(job.attempt.0 as usize) {
                 *withdraw = None;
@@ -350,6 +387,7 @@
             if let Some(body) = ended.body
                 && let Some(answer) = held.answer.take()
             {
+                counters.served += 1;
                 // A caller that has just left is told of on its own way.
                 let _ = answer.send(Answer::Served(body));
             }
@@ -531,6 +569,7 @@
         let listed = core.listed.get(&upstream).filter(|listed| listed.ready && held.answer.is_some());
         let Some(listed) = listed else {
             held.attempts.push(None);
+            core.counters.attempt(Outcome::NotSent, Duration::ZERO);
             let finished = held.answer.is_none();
             return core.events.push_back(Event::AttemptEnded {
                 request,
@@ -556,6 +595,12 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         if let Some(sender) = held.answer.take() {
+            match answer {
+                Answer::Served(_) => self.counters.served += 1,
+                Answer::Refused { .. } if held.attempts.is_empty() => self.counters.denied += 1,
+                Answer::Refused { .. } => self.counters.refused += 1,
+                Answer::Failed => self.counters.failed += 1,
+            }
             // A caller that has just left is told of on its own way.
             let _ = sender.send(answer);
         }
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -8,6 +8,7 @@
 use std::io::Write;
 
 pub mod config;
+pub mod counters;
 pub mod discovery;
 pub mod driver;
 pub mod server;
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -296,7 +296,10 @@
                 // Short of sockets is no fault of the upstream's.
                 let Some(permit) = driver.permit() else { return (Outcome::NotSent.into(), None) };
                 match connect(permit, dial).await {
-                    Ok(connection) => connection,
+                    Ok(connection) => {
+                        driver.count_opened();
+                        connection
+                    }
                     Err(_) => return (Outcome::ConnectFailed.into(), None),
                 }
             }
