Do not take a request that upstreams reject for a failing server or a crowd

Symptom: refusals climb from 12% to over 50% of all requests and do not come down; the tier answers what it is sent in 300 ms all the while.

Evidence, from the counters: in a good second n0 takes 29 requests and denies none; from 2.8 s on it counts 17 and 9 errors a second, evenly over all four upstreams, crowding passes 0.2, the limit of all tenants falls from 37 to 9 a second, and nine in ten requests are denied unsent. A line for each answer that was not 200 showed 118 answers 400 and 18 answers 500: callers' requests that repeat an id with another path, carry two framings or an outsized head reach an upstream, which answers 400. Those of the safe class went out four times each.

Ruled out: servers that fail (their 500s are few, and come from all); the tier behind (served); full servers and connects (0 full, 0 unreached); the sockets, which do climb to 322 of 368 but leave no attempt unsent.

At fault: upstream.rs, read(), which made every status but 200 and a marked 503 an Error; Balancer::meet counts errors as crowding once a tenth of the tier's calls fail, learn_outcome counts them against the upstream, try_again repeats them. A 400 or 404 is now Outcome::Rejected: failed at once, repeated nowhere, counted against nobody.

--- a/dahliahead/src/counters.rs
+++ b/dahliahead/src/counters.rs
@@ -25,8 +25,9 @@
     pub left: u32,
     /// Connections to upstreams that were opened.
     pub opened: u32,
-    /// Attempts by their outcome: good, error, refused, timed out, no connection, reset, withdrawn, not sent.
-    outcomes: [u32; 8],
+    /// Attempts by their outcome: good, error, refused, rejected, timed out, no connection,
+    /// reset, withdrawn, not sent.
+    outcomes: [u32; 9],
     /// Time that the good ones took, and the longest.
     took: Duration,
     longest: Duration,
@@ -46,13 +47,13 @@
 impl Display for Counters {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let Self { taken, served, denied, refused, failed, left, opened, outcomes, took, longest } = self;
-        let [good, error, full, late, unreached, reset, withdrawn, unsent] = *outcomes;
+        let [good, error, full, rejected, late, unreached, reset, withdrawn, unsent] = *outcomes;
         write!(
             f,
             "requests: {taken} taken, {served} served, {denied} denied, {refused} refused, {failed} failed, \
              {left} left; attempts: {good} good ({:.0} ms, {:.0} at most), {error} error, {full} full, \
-             {late} late, {unreached} unreached, {reset} reset, {withdrawn} withdrawn, {unsent} unsent; \
-             {opened} connections opened",
+             {rejected} rejected, {late} late, {unreached} unreached, {reset} reset, {withdrawn} withdrawn, \
+             {unsent} unsent; {opened} connections opened",
             took.as_secs_f64() * 1000.0 / f64::from(good.max(1)),
             longest.as_secs_f64() * 1000.0,
         )
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -227,12 +227,13 @@
         let out: u32 = core.requests.values().map(|held| held.out).sum();
         crate::log(format_args!(
             "{counters}; now: {} held, {out} attempts out, {idle} connections idle, {} of {} sockets, \
-             {ready} of {} upstreams ready, list {}",
+             {ready} of {} upstreams ready, list {}; {}",
             core.requests.len(),
             self.sockets.get(),
             self.sockets_most,
             core.listed.len(),
             core.index,
+            core.balancer.vitals(),
         ));
     }
 
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -348,6 +348,8 @@
     let outcome = match head.status {
         StatusCode::OK => Outcome::Good,
         _ if not_run => Outcome::Refused,
+        // What a caller got wrong is no fault of the upstream's.
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => Outcome::Rejected,
         _ => Outcome::Error,
     };
     Some(Ended { outcome, body: (outcome == Outcome::Good).then_some(body), load })
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -168,3 +168,18 @@
     let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
     assert_eq!(balancer.caller().ask("order", "one").status(), 502);
 }
+
+/// Guards upstreams and limits against a caller's bad request: it is answered as failed at once, sent nowhere
+/// else, and no sign of a bad upstream or a crowd.
+#[test]
+fn a_request_that_an_upstream_rejects_is_not_sent_again() {
+    let (first, second) =
+        (Upstream::start(|_, _| status("400 Bad Request")), Upstream::start(|_, _| status("404 Not Found")));
+    let known = [endpoint("s-1", first.address, 0, "ready"), endpoint("s-2", second.address, 1, "ready")];
+    let (balancer, _discovery) = Balancer::with(&known, 30.0);
+    let mut caller = balancer.caller();
+    for asked in 1..=8 {
+        assert_eq!(caller.ask("read", "").status(), 502);
+        assert_eq!(first.requests().len() + second.requests().len(), asked);
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,7 +11,6 @@
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use oorandom::Rand64;
@@ -431,8 +430,8 @@
 
     /// A new process knows nothing of what the old one did.
     fn restarted(&mut self, now: f64, rng: &mut Rand64) {
-        let (in_flight, home) = (self.in_flight, self.home);
-        *self = Self { in_flight, home, ..Self::new(self.member, now, rng) };
+        let Self { in_flight, home, kind, .. } = *self;
+        *self = Self { in_flight, home, kind, ..Self::new(self.member, now, rng) };
     }
 
     fn usable(&self) -> bool {
@@ -569,7 +568,6 @@
     slots: FxHashMap<UpstreamId, usize>,
     free: Vec<usize>,
     ready: Vec<usize>,
-    cells: BTreeMap<u32, Vec<usize>>,
     /// Share of the calls that met crowding lately, and the time of the next drop for it.
     crowding: f64,
     drop_after: f64,
@@ -612,7 +610,6 @@
             slots: FxHashMap::default(),
             free: Vec::new(),
             ready: Vec::new(),
-            cells: BTreeMap::new(),
             crowding: 0.0,
             drop_after: 0.0,
             tier_failures: 0.0,
@@ -655,6 +652,14 @@
         }
     }
 
+    /// How the limits and the tier stand, for the operator's log.
+    #[must_use]
+    pub fn vitals(&self) -> String {
+        let rates: Vec<_> = self.limits.iter().map(|limit| format!("{:.1}", limit.rate.min(1e6))).collect();
+        let (crowding, failures, had) = (self.crowding, self.tier_failures, self.subset.had);
+        format!("crowding {crowding:.2}, failing {failures:.2}, had {had:.2}, limits {}", rates.join(" "))
+    }
+
     // --- Discovery ---
 
     fn subscribe(&mut self, now: f64, actions: &mut Vec<Action>) {
@@ -732,7 +737,6 @@
         let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
         order.sort_unstable();
         self.ready.clear();
-        self.cells.clear();
         self.largest_weight = 1e-9;
         let (mut home, mut away) = (Vec::new(), Vec::new());
         for (id, slot) in order {
@@ -745,11 +749,10 @@
                 continue;
             }
             upstream.home = upstream.member.zone == Some(self.settings.zone);
-            upstream.kind =
-                upstream.member.kind.map_or(self.settings.kinds, |kind| kind.0.min(self.settings.kinds));
+            let kinds = self.settings.kinds;
+            upstream.kind = upstream.member.kind.map_or(kinds, |KindId(kind)| kind.min(kinds));
             self.largest_weight = self.largest_weight.max(upstream.member.weight);
             self.ready.push(slot);
-            self.cells.entry(upstream.member.cell).or_default().push(slot);
             if upstream.home { home.push(slot) } else { away.push(slot) }
         }
         if !self.ready.is_empty() {
@@ -844,20 +847,15 @@
             Effect::Keyed { scope, .. } => scope,
             _ => DedupScope::All,
         };
-        match (entry.first_run(), scope) {
-            (Some(&Attempt { cell, .. }), DedupScope::Cell) => {
-                let members = self.cells.remove(&cell)?;
-                let picked = self.draw_two(now, id, &members);
-                self.cells.insert(cell, members);
-                picked
-            }
-            (Some(&Attempt { zone, .. }), DedupScope::Zone) => {
-                let same = |&&slot: &&usize| self.upstreams[slot].member.zone == zone;
-                let members: Vec<usize> = self.ready.iter().filter(same).copied().collect();
-                self.draw_two(now, id, &members)
-            }
-            _ => self.pick_plain(now, id),
-        }
+        let Some(&Attempt { cell, zone, .. }) = entry.first_run().filter(|_| scope != DedupScope::All) else {
+            return self.pick_plain(now, id);
+        };
+        let kin = |&&slot: &&usize| {
+            let member = &self.upstreams[slot].member;
+            if scope == DedupScope::Zone { member.zone == zone } else { member.cell == cell }
+        };
+        let members: Vec<usize> = self.ready.iter().filter(kin).copied().collect();
+        self.draw_two(now, id, &members)
     }
 
     fn pick_plain(&mut self, now: f64, id: RequestId) -> Option<usize> {
@@ -1068,9 +1066,7 @@
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
         let (class, tenant) = (entry.class, entry.tenant);
         let late = now - entry.arrived > self.settings.classes[class.0].aim.as_secs_f64();
-        if finished {
-            entry.closed = true;
-        }
+        entry.closed |= finished;
         let (closed, idle) = (entry.closed, entry.out == 0);
         self.learn_outcome(now, slot, class, outcome, took);
         if closed {
@@ -1082,7 +1078,13 @@
         }
         let again = !closed && idle && self.try_again(now, id, outcome, actions);
         if !closed && idle && !again {
-            self.finish(id, actions);
+            if outcome == Outcome::Rejected {
+                // A refusal would invite the same request again.
+                actions.push(Action::Fail { request: id });
+                self.close(id, actions);
+            } else {
+                self.finish(id, actions);
+            }
         }
         // A call that was turned away and went elsewhere has met no crowd yet: behind a broken link or one
         // full server the tenant's limit would drop although its calls are served. Refusals by two servers in
@@ -1095,18 +1097,13 @@
 
     fn try_again(&mut self, now: f64, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) -> bool {
         let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        if outcome == Outcome::NotSent || now >= self.useful_until(entry) {
+        if matches!(outcome, Outcome::NotSent | Outcome::Rejected) || now >= self.useful_until(entry) {
             return false;
         }
-        let budget = if outcome.never_ran() { self.ledger.reroutes } else { self.ledger.repeats };
-        if budget < 1.0 || !self.send_somewhere(now, id, actions) {
+        if *self.ledger.budget(outcome) < 1.0 || !self.send_somewhere(now, id, actions) {
             return false;
         }
-        if outcome.never_ran() {
-            self.ledger.reroutes -= 1.0;
-        } else {
-            self.ledger.repeats -= 1.0;
-        }
+        *self.ledger.budget(outcome) -= 1.0;
         true
     }
 
@@ -1128,6 +1125,8 @@
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
         let failed = match outcome {
             Outcome::NotSent | Outcome::Withdrawn => return,
+            // It tells of the caller, not of the upstream.
+            Outcome::Rejected => return upstream.heard = now,
             Outcome::Good | Outcome::Refused => false,
             Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => true,
         };
@@ -1142,9 +1141,7 @@
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
             let times = (took / usual).min(8.0);
-            let last = self.kind_slowness.len() - 1;
-            let kind =
-                &mut self.kind_slowness[upstream.member.kind.map_or(last, |KindId(kind)| kind.min(last))];
+            let kind = &mut self.kind_slowness[upstream.kind];
             if upstream.measured == 0.0 {
                 upstream.slowness = *kind;
             }
@@ -1259,6 +1256,11 @@
 }
 
 impl Ledger {
+    /// What pays for another attempt after one that ended so.
+    fn budget(&mut self, outcome: Outcome) -> &mut f64 {
+        if outcome.never_ran() { &mut self.reroutes } else { &mut self.repeats }
+    }
+
     fn tried(&self, id: RequestId, upstream: UpstreamId) -> bool {
         self.entries
             .get(&id)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -341,6 +341,8 @@
     Error,
     /// Rejected unseen; it never ran.
     Refused,
+    /// Answered that the request itself is wrong, as it would be anywhere; counted as one that may have run.
+    Rejected,
     /// No answer in time; it may have run or still run.
     TimedOut,
     /// No connection; it never ran.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -47,6 +47,7 @@
         1 => Just(Outcome::ConnectFailed),
         1 => Just(Outcome::Reset),
         1 => Just(Outcome::NotSent),
+        1 => Just(Outcome::Rejected),
     ]
 }
 
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use peathatch::interface::*;
-use peathatch::{Event, Settings};
+use peathatch::{Action, Event, Settings};
 
 /// A first-tier copy whose only tenant is held to 10 calls a second: a third of 25 and a standard
 /// deviation of its chance over the window.
@@ -295,3 +295,23 @@
     let rate = f64::from(passed) / copies as f64 / 10.0;
     assert!(rate < 0.4, "{rate} calls a second a copy");
 }
+
+/// Guards the limits and the upstreams against callers whose requests are rejected as wrong: half of all calls
+/// being such cuts nothing and sets nobody aside, and each gets its final answer with its first attempt.
+#[test]
+fn rejected_requests_are_neither_a_crowd_nor_a_failing_upstream() {
+    let mut bench = ten_a_second();
+    assert_eq!(admitted(&mut bench, 8.0, 10.0, 20.0, Outcome::Good), 1.0);
+    let mut tried = [0; 4];
+    for call in 0..280 {
+        bench.pass(millis(125));
+        let (id, actions) = bench.offer(Some(0));
+        let UpstreamId(upstream) = sent(&actions).expect("below the limit all pass");
+        tried[upstream as usize] += 1;
+        let outcome = if call % 2 == 0 { Outcome::Rejected } else { Outcome::Good };
+        let actions = bench.end(id, 0, outcome, millis(20));
+        assert_eq!(actions.contains(&Action::Fail { request: id }), outcome == Outcome::Rejected);
+        assert!(sent(&actions).is_none() && !refused(&actions));
+    }
+    assert!(tried.iter().all(|&calls| calls > 40), "{tried:?}");
+}
