Send at-most-once requests over connections not idle longer than is trusted

Evidence, from the counters and a line for each broken exchange: of 245 to 300 attempts in 5 s, 10 to 17 are reset at n0 and 6 to 19 at each balancer behind, and 50 to 80 connections are opened for them. Of the attempts over connections kept idle for under 100 ms or fresh ones, 1.5 to 2% are reset; of those idle for longer 10 to 20%, at every upstream alike, within a millisecond of the last byte written, however long they were idle past that. The setting (30 s) only says when an upstream closes at the latest.

Ruled out: single bad upstreams (all 16 show it); the age of a connection or the number of its requests (flat); time-outs and connects (0 to 2 in 5 s).

A reset after the last byte may have run, so an alert-order on it has failed, and a call of the tier behind fails the request above. Now a reset teaches how long idle is too long; at-most-once requests get a new connection past that. Repeatable ones use any kept one, and tell by fifty answers in a row when the trust may double again.

The errors from 5 s to 15 s remain; they are another cause.

--- a/dahliahead/src/counters.rs
+++ b/dahliahead/src/counters.rs
@@ -25,6 +25,8 @@
     pub left: u32,
     /// Connections to upstreams that were opened.
     pub opened: u32,
+    /// Attempts reset on a connection that had been kept.
+    pub kept_reset: u32,
     /// Attempts by their outcome: good, error, refused, rejected, timed out, no connection,
     /// reset, withdrawn, not sent.
     outcomes: [u32; 9],
@@ -46,13 +48,25 @@
 
 impl Display for Counters {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let Self { taken, served, denied, refused, failed, left, opened, outcomes, took, longest } = self;
+        let Self {
+            taken,
+            served,
+            denied,
+            refused,
+            failed,
+            left,
+            opened,
+            kept_reset,
+            outcomes,
+            took,
+            longest,
+        } = self;
         let [good, error, full, rejected, late, unreached, reset, withdrawn, unsent] = *outcomes;
         write!(
             f,
             "requests: {taken} taken, {served} served, {denied} denied, {refused} refused, {failed} failed, \
              {left} left; attempts: {good} good ({:.0} ms, {:.0} at most), {error} error, {full} full, \
-             {rejected} rejected, {late} late, {unreached} unreached, {reset} reset, {withdrawn} withdrawn, \
+             {rejected} rejected, {late} late, {unreached} unreached, {reset} reset ({kept_reset} on kept connections), {withdrawn} withdrawn, \
              {unsent} unsent; {opened} connections opened",
             took.as_secs_f64() * 1000.0 / f64::from(good.max(1)),
             longest.as_secs_f64() * 1000.0,
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -22,6 +22,7 @@
 use crate::config::Config;
 use crate::counters::{self, Counters};
 use crate::discovery::{self, Endpoint, Update};
+use crate::trust::Trust;
 use crate::upstream::{self, Call, Connection, Ended, Job};
 
 /// How far the module's clock runs ahead of the program's start: upstreams that started before it have a
@@ -130,6 +131,7 @@
     discovery: SocketAddr,
     connect_timeout: Duration,
     keep: Duration,
+    trust: RefCell<Trust>,
     sockets: Rc<Cell<usize>>,
     sockets_most: usize,
 }
@@ -168,6 +170,7 @@
             discovery: config.discovery,
             connect_timeout: loaded.connect_timeout,
             keep,
+            trust: RefCell::new(Trust::new(keep)),
             sockets: Rc::new(Cell::new(0)),
             sockets_most: config.sockets.saturating_sub(OTHER_DESCRIPTORS),
         });
@@ -226,9 +229,10 @@
         let idle: usize = core.kept.values().map(Vec::len).sum();
         let out: u32 = core.requests.values().map(|held| held.out).sum();
         crate::log(format_args!(
-            "{counters}; now: {} held, {out} attempts out, {idle} connections idle, {} of {} sockets, \
-             {ready} of {} upstreams ready, list {}; {}",
+            "{counters}; now: {} held, {out} attempts out, {idle} connections idle (trusted for {} ms), \
+             {} of {} sockets, {ready} of {} upstreams ready, list {}; {}",
             core.requests.len(),
+            self.trust.borrow().trusted().as_millis(),
             self.sockets.get(),
             self.sockets_most,
             core.listed.len(),
@@ -284,19 +288,33 @@
         oldest.map(|kept| kept.remove(0)).is_some()
     }
 
-    /// A free connection to an upstream, the most recently used first.
+    /// A free connection to an upstream, the most recently used first, and for how long it stood idle. For a
+    /// request that must run `once` at most those idle for longer than is trusted are closed: the new one that it
+    /// gets takes their place.
     #[must_use]
-    pub fn take_idle(&self, upstream: UpstreamId) -> Option<Connection> {
+    pub fn take_idle(&self, upstream: UpstreamId, once: bool) -> Option<(Connection, Duration)> {
+        let most = if once { self.trust.borrow().trusted() } else { self.keep };
         let mut core = self.core.borrow_mut();
         let kept = core.kept.get_mut(&upstream)?;
         while let Some(last) = kept.pop() {
-            if last.connection.is_free() && last.since.elapsed() < self.keep {
-                return Some(last.connection);
+            let idle = last.since.elapsed();
+            if last.connection.is_free() && idle < self.keep {
+                return (idle <= most).then_some((last.connection, idle));
             }
         }
         None
     }
 
+    /// Learns whether a connection that was idle for so long has carried its request.
+    pub fn learn_idle(&self, idle: Duration, answered: bool) {
+        if answered {
+            self.trust.borrow_mut().answered(idle);
+        } else {
+            self.trust.borrow_mut().reset(idle);
+            self.core.borrow_mut().counters.kept_reset += 1;
+        }
+    }
+
     /// Keeps a connection for the next attempt.
     pub fn keep(&self, upstream: UpstreamId, address: SocketAddr, connection: Connection) {
         if !self.may_send(upstream, address) || !connection.is_free() {
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod server;
+pub mod trust;
 pub mod upstream;
 
 /// Writes a line for the operator. A log that nobody reads any more must not end the program, as `eprintln!`
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -386,6 +386,7 @@
             id,
             key,
             body,
+            once: figures.effect == Effect::Unsafe,
         }),
     })
 }
--- /dev/null
+++ b/dahliahead/src/trust.rs
@@ -0,0 +1,90 @@
+//! How long a kept connection may have stood idle and still carry a request that must not run twice.
+//!
+//! An upstream may close an idle connection well before the settings say that it must. A request that crosses
+//! the close ends as a reset, after which one that must not run twice has failed. Requests that may be repeated
+//! go on using any kept connection and tell when the trouble is over.
+
+use std::time::Duration;
+
+/// Trust is not cut below this, nor by what was idle for less: connections break under a request now and then
+/// however short they were idle, and a new one for each request costs the upstream work.
+const LEAST: Duration = Duration::from_millis(50);
+/// Answers in a row on connections idle for longer than is trusted, after which that time is doubled: where one
+/// in ten is reset, so many in a row are one chance in two hundred.
+const ANSWERS: u32 = 50;
+
+/// The longest idle time that is trusted.
+#[derive(Debug)]
+pub struct Trust {
+    most: Duration,
+    trusted: Duration,
+    answers: u32,
+}
+
+impl Trust {
+    /// Trusts every connection that is kept, for `most` at the longest.
+    #[must_use]
+    pub fn new(most: Duration) -> Self {
+        Self { most, trusted: most, answers: 0 }
+    }
+
+    /// The longest idle time after which a connection may carry a request that must not run twice.
+    #[must_use]
+    pub fn trusted(&self) -> Duration {
+        self.trusted
+    }
+
+    /// A connection that had been idle for `idle` was reset under its request.
+    pub fn reset(&mut self, idle: Duration) {
+        if idle >= LEAST {
+            self.answers = 0;
+            self.trusted = self.trusted.min((idle / 2).max(LEAST));
+        }
+    }
+
+    /// A connection that had been idle for `idle` has carried its request.
+    pub fn answered(&mut self, idle: Duration) {
+        if idle < self.trusted {
+            return;
+        }
+        self.answers += 1;
+        if self.answers >= ANSWERS {
+            self.answers = 0;
+            self.trusted = (self.trusted * 2).min(self.most);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards both ways: one reset is enough to distrust, and trust comes back in steps, up to where it was.
+    #[test]
+    fn trust_falls_at_once_and_returns_with_answers() {
+        let most = Duration::from_secs(21);
+        let mut trust = Trust::new(most);
+        trust.answered(Duration::from_secs(20));
+        assert_eq!(trust.trusted(), most);
+        trust.reset(Duration::from_millis(240));
+        assert_eq!(trust.trusted(), Duration::from_millis(120));
+        trust.reset(Duration::from_secs(3));
+        assert_eq!(trust.trusted(), Duration::from_millis(120));
+        trust.reset(Duration::from_millis(5));
+        assert_eq!(trust.trusted(), Duration::from_millis(120));
+        trust.reset(Duration::from_millis(80));
+        assert_eq!(trust.trusted(), LEAST);
+        for _ in 0..ANSWERS * 2 {
+            trust.answered(Duration::ZERO);
+        }
+        assert_eq!(trust.trusted(), LEAST);
+        for _ in 0..ANSWERS {
+            trust.answered(Duration::from_secs(1));
+        }
+        assert_eq!(trust.trusted(), LEAST * 2);
+        for _ in 0..ANSWERS * 20 {
+            trust.answered(most);
+        }
+        assert_eq!(trust.trusted(), most);
+    }
+}
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -171,6 +171,8 @@
     pub key: Option<HeaderValue>,
     /// The body.
     pub body: Bytes,
+    /// It must not run twice.
+    pub once: bool,
 }
 
 impl Call {
@@ -287,10 +289,9 @@
 
 async fn exchange(driver: &Rc<Driver>, job: &Job, progress: &Progress) -> (Ended, Option<Connection>) {
     loop {
-        let kept = driver.take_idle(job.upstream);
-        let fresh = kept.is_none();
-        let mut connection = match kept {
-            Some(connection) => connection,
+        let kept = driver.take_idle(job.upstream, job.call.once);
+        let (mut connection, idle) = match kept {
+            Some((connection, idle)) => (connection, Some(idle)),
             None => {
                 let dial = Dial { address: job.address, patience: driver.connect_timeout() };
                 // Short of sockets is no fault of the upstream's.
@@ -298,7 +299,7 @@
                 match connect(permit, dial).await {
                     Ok(connection) => {
                         driver.count_opened();
-                        connection
+                        (connection, None)
                     }
                     Err(_) => return (Outcome::ConnectFailed.into(), None),
                 }
@@ -314,6 +315,9 @@
         progress.written.replace(Some(Rc::clone(&connection.written)));
         let failure = match connection.sender.send_request(request).await {
             Ok(response) => {
+                if let Some(idle) = idle {
+                    driver.learn_idle(idle, true);
+                }
                 return match read(driver, response).await {
                     Some(ended) => (ended, Some(connection)),
                     None => (Outcome::Reset.into(), None),
@@ -321,8 +325,11 @@
             }
             Err(failure) => failure,
         };
+        if let Some(idle) = idle {
+            driver.learn_idle(idle, false);
+        }
         // A kept connection that turns out closed before a byte went out has sent nothing.
-        if !fresh && !progress.begun() && failure.is_canceled() {
+        if idle.is_some() && !progress.begun() && failure.is_canceled() {
             continue;
         }
         let outcome = if progress.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
@@ -382,6 +389,7 @@
             host: HeaderValue::from_static("origin.svc"),
             id: HeaderValue::from_static("r-1"),
             body: Bytes::from_static(body),
+            once: false,
         }
     }
 
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::Shutdown;
+use std::time::{Duration, Instant};
 
 use common::*;
 
@@ -183,3 +184,26 @@
         assert_eq!(first.requests().len() + second.requests().len(), asked);
     }
 }
+
+/// Guards what must not run twice against connections that upstreams reset once idle: after one such reset it
+/// gets a new connection, while a request that may be repeated goes on finding out with the kept one.
+#[test]
+fn after_a_reset_only_repeatable_requests_use_connections_idle_for_long() {
+    let upstream =
+        Upstream::start(|number, _| if number == 1 { Reply::Last(Vec::new()) } else { ok("served") });
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut caller = balancer.caller();
+    let mut ask = |class: &str, status: u16| {
+        assert_eq!(caller.ask(class, "").status(), status);
+        let answered = Instant::now();
+        let idle = Duration::from_millis(100);
+        wait_for("the connection stands idle", || (answered.elapsed() > idle).then_some(()));
+    };
+    ask("read", 200);
+    ask("read", 503);
+    ask("read", 200);
+    ask("order", 200);
+    ask("read", 200);
+    let connections: Vec<usize> = upstream.requests().iter().map(|(connection, _)| *connection).collect();
+    assert_eq!(connections, [1, 1, 2, 3, 3]);
+}
