Keep a watch on discovery whatever the settings call it

Symptom: the release of the servers begins at 3 s; at 4.7 s a request goes to a server 1.08 s after its drain was told (222 times in all), then to one that no list named, and from 20 s on nothing is answered.

Evidence: the log lines of every balancer in the recordings before say 'list 0' to the end, with all upstreams ready, and no watch ever broke or was opened; the configuration says "discovery":"automatic".

Ruled out: a watch that falls silent or is read wrongly (none is opened; the tests of both pass under "subscribe"); kept connections after a drain (they are closed with the list that says so; none came); the grace of the module (Event::List never came after the start).

At fault: Balancer::handle asks for a subscription only where the settings say 'subscribe', and Driver::start passed 'automatic' on. In the simulator changes then come by themselves; on sockets discovery tells them only over a watch (PROTOCOL). Driver::start now has the decisions keep one in any case. The test fails without it: no watch is opened.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use peathatch::interface::{
-    AttemptNumber, Class, ClassId, KindId, ListUpdate, Member, Outcome, Phase, Request, RequestId,
-    SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase, Request,
+    RequestId, SettingsError, TenantId, Time, UpstreamId, ZoneId,
 };
 use peathatch::{Action, Balancer, Event};
 use peathatch_wirehost::setup::Names;
@@ -143,7 +143,9 @@
     /// The settings make no sense.
     pub fn start(config: Config) -> Result<Rc<Self>, SettingsError> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let loaded = config.loaded;
+        let mut loaded = config.loaded;
+        // 'Automatic' speaks of the simulator: here a change comes only over a watch, which the decisions keep.
+        loaded.settings.discovery = DiscoveryMode::Subscribe;
         let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
         let classes = loaded.settings.classes.clone();
         let core = Core {
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -108,3 +108,22 @@
     watch.says(8, true, &[endpoint("s-1", upstream.address, 0, "ready")]);
     wait_for("the balancer can serve", || (health() == 200).then_some(()));
 }
+
+/// Guards against a list that never changes: settings under which lists are said to come by themselves leave the
+/// watch to the balancer all the same.
+#[test]
+fn a_watch_is_kept_whatever_the_settings_call_it() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", old.address, 0, "ready")];
+    let text = configuration(discovery.address, &known, 30.0, 1024).replace("subscribe", "automatic");
+    let balancer = Balancer::start(&text);
+    let (line, watch) = discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
+    watch.says(
+        8,
+        false,
+        &[endpoint("s-1", old.address, 0, "draining"), endpoint("s-2", new.address, 1, "ready")],
+    );
+    wait_for("the drain is taken in", || (balancer.caller().ask("order", "").body == b"new").then_some(()));
+}
