Close connections that bring no whole request within 2.5 s

Evidence: n0 counts 20 sockets at 2.6 s and 322 of 368 at 10 s with 10 attempts out; connections to upstreams are closed to make room and opened anew. With every byte logged, 565 of 945 connections at n0 ask for the health once and stay, others send nothing or a part of a head.

Ruled out: upstream connections (17 at most); clients (80 at once); a leak (the count falls when the peers leave).

At fault: server.rs, IDLE_MOST of 60 s for the head and BODY_WITHIN of 20 s for the body, whoever the peer is, and an asked-for health that counts as a request. The first request must now be whole 2.5 s after the connection came (3 s are owed); asking for the health does not stop that clock; a bad request closes its connection, of which some sent sixty more.

--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, pending};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::config::Config;
 use crate::driver::{Answer, Driver, Taken};
@@ -32,6 +32,8 @@
 const MARGIN: Duration = Duration::from_millis(30);
 /// Left to the decisions for a last word past that, before the answer is given for them.
 const LAST_WORD: Duration = Duration::from_millis(10);
+/// Where the front asks whether it may send here.
+const HEALTH: &str = "/_health";
 /// How long connections stay open after SIGTERM: the front goes on sending for 0.4 s, and what comes later
 /// than 0.7 s may not be answered in time.
 const DRAIN_OPEN: Duration = Duration::from_millis(500);
@@ -41,10 +43,13 @@
 const UNUSED_GRACE: Duration = Duration::from_millis(100);
 /// How often the end of a drain is looked for.
 const DRAIN_LOOK: Duration = Duration::from_millis(10);
-/// A caller's connection without a whole request head for this long is closed.
+/// The first request of a connection must have come whole within this time: a peer that sends none is owed an
+/// error or a close within 3 s, and holds a socket until then.
+const FIRST_WITHIN: Duration = Duration::from_millis(2500);
+/// A connection that has carried a request is closed after this long without a whole head of the next.
 const IDLE_MOST: Duration = Duration::from_secs(60);
-/// A body must come within this time, so that stuck callers do not hold sockets for ever.
-const BODY_WITHIN: Duration = Duration::from_secs(20);
+/// The body of a later request must come within this time of its head.
+const BODY_WITHIN: Duration = Duration::from_secs(2);
 /// Wait after a failed accept, so that running out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -62,8 +67,10 @@
 struct Link {
     /// A request has come on it whose answer is not yet out.
     busy: Cell<bool>,
-    /// It has ever carried a request.
+    /// It has ever carried a request; asking for the health is none.
     used: Cell<bool>,
+    /// When it came.
+    opened: Instant,
     /// When it came, or its latest answer was made.
     since: Cell<Instant>,
     /// Closes it once it is between requests.
@@ -87,6 +94,7 @@
         let link = Rc::new(Link {
             busy: Cell::new(false),
             used: Cell::new(false),
+            opened: Instant::now(),
             since: Cell::new(Instant::now()),
             close: Notify::new(),
         });
@@ -189,16 +197,18 @@
 async fn connection(callers: &Rc<Callers>, stream: TcpStream, link: &Rc<Link>) {
     // Without it answers would wait for acknowledgements; one that can't be set is no reason to hang up.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let driver = &callers.driver;
         link.busy.set(true);
-        link.used.set(true);
+        let first = !link.used.get();
+        link.used.set(!first || request.uri().path() != HEALTH);
+        let whole_by = if first { link.opened + FIRST_WITHIN } else { Instant::now() + BODY_WITHIN };
         async move {
             // Its attempt wants a socket too, which callers that only stand by must not keep from it.
             if driver.crowded() {
                 callers.make_room();
             }
-            let mut response = respond(driver, request).await;
+            let mut response = respond(driver, request, whole_by).await;
             link.busy.set(false);
             link.since.set(Instant::now());
             if *callers.phases.borrow() != Phase::Serving || driver.full() {
@@ -216,6 +226,7 @@
             // An error means that the program is ending.
             _ = phases.wait_for(|&phase| phase == Phase::Closing) => {}
             () = link.close.notified() => {}
+            () = unused(link) => {}
         }
     };
     tokio::select! {
@@ -239,6 +250,14 @@
     let _ = served.await;
 }
 
+/// Waits until a connection has had its time for a first request, in vain.
+async fn unused(link: &Link) {
+    sleep_until(link.opened + FIRST_WITHIN).await;
+    if link.used.get() {
+        pending().await
+    }
+}
+
 /// What is wrong with a caller's request.
 #[derive(Debug, Error, PartialEq, Eq)]
 enum BadRequest {
@@ -262,12 +281,16 @@
     Slow,
 }
 
-async fn respond(driver: &Rc<Driver>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    if request.uri().path() == "/_health" {
+async fn respond(
+    driver: &Rc<Driver>,
+    request: Request<Incoming>,
+    whole_by: Instant,
+) -> Response<Full<Bytes>> {
+    if request.uri().path() == HEALTH {
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return plain(status, "");
     }
-    let answer = match read(driver, request).await {
+    let answer = match read(driver, request, whole_by).await {
         // No socket is left for an attempt either; nothing has run.
         Ok(_) if driver.full() => Answer::Refused { retry_after: None },
         Ok(taken) => answer(driver, taken).await,
@@ -277,7 +300,10 @@
                 BadRequest::Slow => StatusCode::REQUEST_TIMEOUT,
                 _ => StatusCode::BAD_REQUEST,
             };
-            return plain(status, error.to_string());
+            // The end of its request is not to be trusted.
+            let mut response = plain(status, error.to_string());
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            return response;
         }
     };
     match answer {
@@ -334,8 +360,8 @@
     value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
 }
 
-/// Reads a request to its last byte.
-async fn read(driver: &Driver, request: Request<Incoming>) -> Result<Taken, BadRequest> {
+/// Reads a request to its last byte, which must come by then.
+async fn read(driver: &Driver, request: Request<Incoming>, whole_by: Instant) -> Result<Taken, BadRequest> {
     let (head, body) = request.into_parts();
     let names = driver.names();
     let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -364,7 +390,7 @@
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(BadRequest::TooLarge);
     }
-    let body = match timeout(BODY_WITHIN, Limited::new(body, BODY_MOST).collect()).await {
+    let body = match timeout_at(whole_by, Limited::new(body, BODY_MOST).collect()).await {
         Err(_) => return Err(BadRequest::Slow),
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -231,3 +231,35 @@
         assert!(!done.status.success() && log.contains(part) && !log.contains("panicked"), "{part}: {log}");
     }
 }
+
+/// Guards the sockets against peers that connect and send nothing, a part of a head, or a part of a body: each
+/// gets an error or a close, while one that has been served may stand idle.
+#[test]
+fn a_peer_without_a_whole_request_is_let_go() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut served = balancer.caller();
+    assert_eq!(served.ask("order", "one").status(), 200);
+    let head =
+        "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\nContent-Length: 9\r\n\r\n";
+    let (health, begun) = ("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n", format!("{head}abc"));
+    let parts = [
+        ("", None),
+        ("GET /re", None),
+        (&head[..60], None),
+        (head, Some(408)),
+        (&begun, Some(408)),
+        (health, Some(200)),
+    ];
+    let mut peers: Vec<Caller> = parts.iter().map(|_| balancer.caller()).collect();
+    for (peer, (part, _)) in peers.iter_mut().zip(parts) {
+        peer.raw(part.as_bytes());
+    }
+    for (peer, (part, status)) in peers.iter_mut().zip(parts) {
+        assert_eq!(peer.answer().map(|answer| answer.status()), status, "{part}");
+        assert!(peer.answer().is_none(), "{part}: still open");
+    }
+    // Later than any of them came, and longer idle than they were let to be.
+    assert_eq!(served.ask("order", "two").status(), 200);
+    assert_eq!(upstream.requests().len(), 2);
+}
