Reload on SIGHUP where discovery listens instead of ending

The program now reads the file again on SIGHUP and takes over the address of discovery (the file's; the environment is that of the start). A file that makes no sense is logged and changes nothing. The test fails without the change: the program is gone after the first signal.

--- a/dahliahead/src/config.rs
+++ b/dahliahead/src/config.rs
@@ -3,7 +3,7 @@
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use peathatch_wirehost::setup::{self, Loaded, SetupError};
 use serde::Deserialize;
@@ -85,6 +85,8 @@
     pub known: Option<Update>,
     /// The settings object.
     pub loaded: Loaded,
+    /// The file it was read from, which a reload reads again.
+    pub path: Option<PathBuf>,
 }
 
 impl Config {
@@ -95,8 +97,16 @@
     /// The file is missing or makes no sense.
     pub fn from_environment() -> Result<Self, ConfigError> {
         let path = PathBuf::from(env::var_os("PROXY_CONFIG").ok_or(ConfigError::NoPath)?);
-        let text = fs::read_to_string(&path).map_err(|cause| ConfigError::Read { path, cause })?;
-        Self::parse(&text, |name| env::var(name).ok())
+        let config = Self::parse(&text(&path)?, |name| env::var(name).ok())?;
+        Ok(Self { path: Some(path), ..config })
+    }
+
+    /// Reads again where discovery listens; the file alone counts, as the environment is that of the start.
+    ///
+    /// # Errors
+    /// The file is missing or makes no sense.
+    pub fn discovery_now(path: &Path) -> Result<SocketAddr, ConfigError> {
+        Ok(Self::parse(&text(path)?, |_| None)?.discovery)
     }
 
     /// Reads a configuration from its text, with `variable` in place of the environment.
@@ -123,6 +133,7 @@
             sockets: file.limits.sockets,
             known: file.known,
             loaded,
+            path: None,
         })
     }
 }
@@ -130,6 +141,10 @@
 /// Fewer descriptors than this leave no room to serve anybody.
 const LEAST_SOCKETS: usize = 48;
 
+fn text(path: &Path) -> Result<String, ConfigError> {
+    fs::read_to_string(path).map_err(|cause| ConfigError::Read { path: path.to_owned(), cause })
+}
+
 fn address(name: &'static str, value: Option<String>) -> Result<SocketAddr, ConfigError> {
     let value = value.unwrap_or_default();
     value.parse().map_err(|_| wrong(name, &value))
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -128,7 +128,7 @@
     zero: Instant,
     /// Unix time in milliseconds at the zero of the module's clock.
     zero_ms: u64,
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
     connect_timeout: Duration,
     keep: Duration,
     trust: RefCell<Trust>,
@@ -169,7 +169,7 @@
             classes,
             zero: Instant::now(),
             zero_ms: unix.saturating_sub(CLOCK_LEAD).as_millis() as u64,
-            discovery: config.discovery,
+            discovery: Cell::new(config.discovery),
             connect_timeout: loaded.connect_timeout,
             keep,
             trust: RefCell::new(Trust::new(keep)),
@@ -435,6 +435,15 @@
         self.take_list(update, kind);
     }
 
+    /// Discovery listens elsewhere now: the decisions hear that the watch broke, and ask for one there. Until
+    /// then the old one goes on.
+    pub fn move_discovery(self: &Rc<Self>, address: SocketAddr) {
+        if self.discovery.replace(address) != address {
+            crate::log(format_args!("discovery is at {address} now"));
+            self.handle(Event::List(ListUpdate::Broken));
+        }
+    }
+
     /// The watch of that number has ended.
     pub fn watch_broke(self: &Rc<Self>, number: u64, why: &str) {
         {
@@ -554,7 +563,8 @@
                     watch.abort();
                 }
                 core.watch_number += 1;
-                let watch = discovery::watch(Rc::clone(self), self.discovery, core.index, core.watch_number);
+                let watch =
+                    discovery::watch(Rc::clone(self), self.discovery.get(), core.index, core.watch_number);
                 core.watch = Some(spawn_local(watch).abort_handle());
             }
             // Health checks are not made here: where a site allowed them, they would end unsent.
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -5,6 +5,7 @@
 use std::convert::Infallible;
 use std::future::{Future, pending};
 use std::io;
+use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use peathatch::interface::{ClassId, Effect, RequestId, TenantId};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -151,7 +153,11 @@
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
     let longest = config.loaded.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let path = config.path.clone();
     let driver = Driver::start(config).map_err(io::Error::other)?;
+    if let Some(path) = path {
+        spawn_local(reload(Rc::clone(&driver), path, signal(SignalKind::hangup())?));
+    }
     let (phase, phases) = watch::channel(Phase::Serving);
     let callers =
         Rc::new(Callers { driver, phases, links: RefCell::new(BTreeMap::new()), next: Cell::new(0) });
@@ -170,6 +176,16 @@
     Ok(())
 }
 
+/// On each SIGHUP takes over where discovery listens. A file that makes no sense changes nothing.
+async fn reload(driver: Rc<Driver>, path: PathBuf, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match Config::discovery_now(&path) {
+            Ok(address) => driver.move_discovery(address),
+            Err(error) => crate::log(format_args!("not reloaded: {error}")),
+        }
+    }
+}
+
 async fn accept_until(listener: &TcpListener, callers: &Rc<Callers>, until: impl Future<Output = ()>) {
     let mut until = pin!(until);
     let mut logged: Option<Instant> = None;
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 
 use common::*;
@@ -121,13 +122,24 @@
     program_within(1024, configuration)
 }
 
-/// Starts the program where descriptors really run out.
-fn program_within(descriptors: usize, configuration: &str) -> Child {
+/// Writes the configuration file of the test that runs on this thread.
+fn write_configuration(configuration: &str) -> PathBuf {
     let mut file = std::env::temp_dir();
     file.push(format!("dahliahead-{}-{:?}.json", std::process::id(), std::thread::current().id()));
     std::fs::File::create(&file)
         .and_then(|mut file| file.write_all(configuration.as_bytes()))
         .expect("written");
+    file
+}
+
+fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("sent");
+    assert!(sent.success());
+}
+
+/// Starts the program where descriptors really run out.
+fn program_within(descriptors: usize, configuration: &str) -> Child {
+    let file = write_configuration(configuration);
     Command::new("/bin/sh")
         .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_dahliahead")])
         .env_clear()
@@ -194,8 +206,7 @@
     upstream.wait_requests(1);
     let mut idle = Caller::connect(address);
     assert_eq!(idle.ask("order", "two").header("connection"), None);
-    let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().expect("sent");
-    assert!(killed.success());
+    signal(&child, "-TERM");
     wait_for("answers close their connections", || {
         let mut late = Caller::connect(address);
         let answer = late.ask("order", "three");
@@ -263,3 +274,34 @@
     assert_eq!(served.ask("order", "two").status(), 200);
     assert_eq!(upstream.requests().len(), 2);
 }
+
+/// Guards reloads: SIGHUP ends nothing, a file that makes no sense changes nothing, and one that names another
+/// discovery moves the watch there, from the version in hand.
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_of_the_file() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let known = [endpoint("s-1", old.address, 0, "ready")];
+    let mut child = program(&configuration(before.address, &known, 30.0, 1024));
+    let (address, mut log) = address(&mut child);
+    let (_, watch) = before.watch();
+    let moved = Upstream::start(|_, _| ok("moved"));
+    watch.says(9, false, &[endpoint("s-1", moved.address, 0, "ready")]);
+    let mut caller = Caller::connect(address);
+    wait_for("the change is taken in", || (caller.ask("order", "one").body == b"moved").then_some(()));
+    write_configuration("{");
+    signal(&child, "-HUP");
+    let mut line = String::new();
+    wait_for("the file is passed over", || {
+        log.read_line(&mut line).expect("a line");
+        line.contains("not reloaded: the configuration is malformed").then_some(())
+    });
+    write_configuration(&configuration(after.address, &known, 30.0, 1024));
+    signal(&child, "-HUP");
+    let (line, watch) = after.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=9 HTTP/1.1");
+    watch.says(10, true, &[endpoint("s-2", new.address, 0, "ready")]);
+    wait_for("the new list is taken in", || (caller.ask("order", "two").body == b"new").then_some(()));
+    child.kill().expect("it runs");
+    child.wait().expect("ends");
+}
