Serve kept connections after SIGTERM until shortly before the earliest kill

Symptom: 36 to 45% of the requests fail from 13 s to 18 s, while a rolling restart stops the only balancer of the first tier.

Evidence, from new log lines of the drain: SIGTERM finds 38 callers, 30 in a request; at 0.5 s all but 4 are closed, at 1.2 s the program ends; the next one starts 4.4 s after SIGTERM. For 3.2 s nobody serves.

Ruled out: a slow end (1.2 s) and a slow start (it listens at once): the time of the restart is the platform's; the release of the servers before it (no drain rule broken, the fail share is 0.3% until SIGTERM).

At fault: serve_on() in server.rs closed every connection with its answer from SIGTERM on, and all after 0.5 s, as if others could always take over. The kill comes no sooner than the longest deadline (3 s at most) and 0.7 s, and clients go on using their connections while these stay open (PROTOCOL). They now stay open until 0.9 s before that; what comes after SIGTERM has its deadline cut to 0.35 s before it, so that the kill finds nothing unanswered.

--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -36,9 +36,17 @@
 const LAST_WORD: Duration = Duration::from_millis(10);
 /// Where the front asks whether it may send here.
 const HEALTH: &str = "/_health";
-/// How long connections stay open after SIGTERM: the front goes on sending for 0.4 s, and what comes later
-/// than 0.7 s may not be answered in time.
+/// After SIGTERM the platform kills no sooner than the longest deadline, counted as this where it is longer...
+const KILL_COUNTS: Duration = Duration::from_secs(3);
+/// ...and this much more.
+const KILL_EXTRA: Duration = Duration::from_millis(700);
+/// How long connections stay open after SIGTERM at the least: the front goes on sending for 0.4 s.
 const DRAIN_OPEN: Duration = Duration::from_millis(500);
+/// Before the earliest kill by this much, each answer closes its connection and idle ones are closed: until then
+/// clients go on using theirs, and may have no other balancer.
+const DRAIN_TAIL: Duration = Duration::from_millis(900);
+/// Before the earliest kill by this much, what came after SIGTERM must have its answer.
+const DRAIN_LAST: Duration = Duration::from_millis(350);
 /// How long new connections are let in after that at the least.
 const DRAIN_LATE: Duration = Duration::from_millis(150);
 /// How long a connection that has had no request waits for one once it should close.
@@ -59,9 +67,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     Serving,
-    /// Each answer closes its connection.
-    Draining,
-    /// Idle connections are closed.
+    /// Each answer closes its connection, and idle ones are closed.
     Closing,
 }
 
@@ -86,6 +92,8 @@
     /// By the order of their coming.
     links: RefCell<BTreeMap<u64, Rc<Link>>>,
     next: Cell<u64>,
+    /// After SIGTERM: when what still comes must be answered.
+    last: Cell<Option<Instant>>,
 }
 
 impl Callers {
@@ -127,9 +135,19 @@
         }
     }
 
-    /// Whether an answer may still be owed on some connection.
-    fn owes(&self) -> bool {
-        self.links.borrow().values().any(|link| link.used.get())
+    /// Connections on which an answer may still be owed, and those of them in a request.
+    fn owed(&self) -> (usize, usize) {
+        let links = self.links.borrow();
+        let used = links.values().filter(|link| link.used.get());
+        (used.clone().count(), used.filter(|link| link.busy.get()).count())
+    }
+
+    fn log_drain(&self, stopped: Instant) {
+        let ((open, busy), since) = (self.owed(), stopped.elapsed());
+        crate::log(format_args!(
+            "{} ms into the drain: {open} callers, {busy} in a request",
+            since.as_millis()
+        ));
     }
 }
 
@@ -159,20 +177,29 @@
         spawn_local(reload(Rc::clone(&driver), path, signal(SignalKind::hangup())?));
     }
     let (phase, phases) = watch::channel(Phase::Serving);
-    let callers =
-        Rc::new(Callers { driver, phases, links: RefCell::new(BTreeMap::new()), next: Cell::new(0) });
+    let callers = Rc::new(Callers {
+        driver,
+        phases,
+        links: RefCell::new(BTreeMap::new()),
+        next: Cell::new(0),
+        last: Cell::new(None),
+    });
     accept_until(&listener, &callers, stop).await;
-    // The front still sends here: go on as before, but let each connection end with its answer.
-    let _ = phase.send(Phase::Draining);
+    // The front still sends here, and clients keep their connections: go on as before for as long as is safe.
     let stopped = Instant::now();
-    accept_until(&listener, &callers, sleep(DRAIN_OPEN)).await;
+    let kill = longest.min(KILL_COUNTS) + KILL_EXTRA;
+    callers.last.set(Some(stopped + kill.saturating_sub(DRAIN_LAST)));
+    callers.log_drain(stopped);
+    accept_until(&listener, &callers, sleep(kill.saturating_sub(DRAIN_TAIL).max(DRAIN_OPEN))).await;
     let _ = phase.send(Phase::Closing);
+    callers.log_drain(stopped);
     accept_until(&listener, &callers, sleep(DRAIN_LATE)).await;
     // Connections that carried a request end with its answer. One that never did is owed nothing; a caller
     // that never takes its answer must not hold up the end.
-    while callers.owes() && stopped.elapsed() < longest + DRAIN_OPEN {
+    while callers.owed().0 > 0 && stopped.elapsed() < longest + DRAIN_OPEN {
         accept_until(&listener, &callers, sleep(DRAIN_LOOK)).await;
     }
+    callers.log_drain(stopped);
     Ok(())
 }
 
@@ -219,12 +246,13 @@
         let first = !link.used.get();
         link.used.set(!first || request.uri().path() != HEALTH);
         let whole_by = if first { link.opened + FIRST_WITHIN } else { Instant::now() + BODY_WITHIN };
+        let last = callers.last.get();
         async move {
             // Its attempt wants a socket too, which callers that only stand by must not keep from it.
             if driver.crowded() {
                 callers.make_room();
             }
-            let mut response = respond(driver, request, whole_by).await;
+            let mut response = respond(driver, request, whole_by, last).await;
             link.busy.set(false);
             link.since.set(Instant::now());
             if *callers.phases.borrow() != Phase::Serving || driver.full() {
@@ -301,6 +329,7 @@
     driver: &Rc<Driver>,
     request: Request<Incoming>,
     whole_by: Instant,
+    last: Option<Instant>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == HEALTH {
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -309,7 +338,10 @@
     let answer = match read(driver, request, whole_by).await {
         // No socket is left for an attempt either; nothing has run.
         Ok(_) if driver.full() => Answer::Refused { retry_after: None },
-        Ok(taken) => answer(driver, taken).await,
+        Ok(mut taken) => {
+            taken.deadline = last.map_or(taken.deadline, |last| taken.deadline.min(last));
+            answer(driver, taken).await
+        }
         Err(error) => {
             let status = match error {
                 BadRequest::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -200,13 +200,23 @@
     let discovery = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let mut child = program(&configuration(discovery.address, &known, 30.0, 1024));
-    let (address, _log) = address(&mut child);
+    let (address, mut log) = address(&mut child);
     let mut taken = Caller::connect(address);
     taken.send("order", "one");
     upstream.wait_requests(1);
     let mut idle = Caller::connect(address);
     assert_eq!(idle.ask("order", "two").header("connection"), None);
     signal(&child, "-TERM");
+    let mut line = String::new();
+    wait_for("the drain begins", || {
+        log.read_line(&mut line).expect("a line");
+        line.contains("into the drain").then_some(())
+    });
+    // Clients that may have nowhere else to go keep their connection for now.
+    for _ in 0..2 {
+        let answer = idle.ask("order", "still");
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    }
     wait_for("answers close their connections", || {
         let mut late = Caller::connect(address);
         let answer = late.ask("order", "three");
