Keep a connection to an upstream whose TCP_NODELAY cannot be set

The new line for a connection that fails says, in all 60 logs, 'was not reached: Bad file descriptor (os error 9)'. A probe that logged failures alone found the step: 'PROBE nodelay fd 75 Bad file descriptor (os error 9)', on each socket after the first, all of them connected without an error.

Ruled out: the time for a connect (up within 0.1 to 0.5 ms), the socket budget (3 of 496), the lists (all ready), the decisions (the limits fell because of it, by 'unreached' alone). A socket made by hand instead of TcpStream::connect is no cause: with a log line between connect and option both ways work.

At fault: upstream.rs, connect(), which gave up a connection for an option that it can do without; server.rs has always gone on there. The reason for a failed connect now stands in the log, at most once between two lines of counts.

The test fails without the change.

--- a/dahliahead/src/counters.rs
+++ b/dahliahead/src/counters.rs
@@ -27,6 +27,8 @@
     pub opened: u32,
     /// Attempts reset on a connection that had been kept.
     pub kept_reset: u32,
+    /// The reason for one of the connections that did not come up has been logged.
+    pub unreached_told: bool,
     /// Attempts by their outcome: good, error, refused, rejected, timed out, no connection,
     /// reset, withdrawn, not sent.
     outcomes: [u32; 9],
@@ -57,6 +59,7 @@
             left,
             opened,
             kept_reset,
+            unreached_told: _,
             outcomes,
             took,
             longest,
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -23,7 +23,7 @@
 use crate::counters::{self, Counters};
 use crate::discovery::{self, Endpoint, Update};
 use crate::trust::Trust;
-use crate::upstream::{self, Call, Connection, Ended, Job};
+use crate::upstream::{self, Call, ConnectError, Connection, Ended, Job};
 
 /// How far the module's clock runs ahead of the program's start: upstreams that started before it have a
 /// time on that clock too. One that started earlier still has been warm for long.
@@ -40,6 +40,15 @@
 #[derive(Debug)]
 pub struct Permit(Rc<Cell<usize>>);
 
+impl Permit {
+    /// Counts a socket more.
+    #[must_use]
+    pub fn of(sockets: &Rc<Cell<usize>>) -> Self {
+        sockets.set(sockets.get() + 1);
+        Self(Rc::clone(sockets))
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
@@ -253,8 +262,7 @@
     /// discovery's, without which drains would be missed.
     #[must_use]
     pub fn reserved_permit(&self) -> Permit {
-        self.sockets.set(self.sockets.get() + 1);
-        Permit(Rc::clone(&self.sockets))
+        Permit::of(&self.sockets)
     }
 
     /// Whether so many sockets are open that those not in use must go.
@@ -341,6 +349,14 @@
         self.core.borrow_mut().counters.opened += 1;
     }
 
+    /// Logs why a connection did not come up, once between two lines of counts: upstreams may be out of reach
+    /// for long.
+    pub fn tell_unreached(&self, address: SocketAddr, error: &ConnectError) {
+        if !std::mem::replace(&mut self.core.borrow_mut().counters.unreached_told, true) {
+            crate::log(format_args!("{address} was not reached: {error}"));
+        }
+    }
+
     fn drop_old(&self) {
         let mut core = self.core.borrow_mut();
         for kept in core.kept.values_mut() {
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -88,7 +88,13 @@
     let stream = timeout(dial.patience, TcpStream::connect(dial.address))
         .await
         .map_err(|_| ConnectError::TimedOut)??;
-    stream.set_nodelay(true)?;
+    speak(stream, permit).await
+}
+
+/// Makes a connection of a socket that has come up.
+async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, ConnectError> {
+    // Without it requests may wait for acknowledgements; one that can't be set is no reason to hang up.
+    let _ = stream.set_nodelay(true);
     let written = Rc::new(Cell::new(0));
     let io = Counted { stream, written: Rc::clone(&written), _permit: permit };
     let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
@@ -301,7 +307,10 @@
                         driver.count_opened();
                         (connection, None)
                     }
-                    Err(_) => return (Outcome::ConnectFailed.into(), None),
+                    Err(error) => {
+                        driver.tell_unreached(job.address, &error);
+                        return (Outcome::ConnectFailed.into(), None);
+                    }
                 }
             }
         };
@@ -379,7 +388,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::os::fd::OwnedFd;
+    use std::os::unix::net::UnixStream;
     use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
+    use tokio::task::LocalSet;
 
     fn call(method: Method, body: &'static [u8]) -> Call {
         Call {
@@ -438,4 +450,28 @@
         written.set(200);
         assert!(progress.whole());
     }
+
+    /// Guards a socket that is up against an option that fails on it, as TCP's do on a Unix socket: it carries
+    /// requests all the same.
+    #[test]
+    fn a_socket_that_refuses_an_option_carries_requests() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+        LocalSet::new().block_on(&runtime, async {
+            let (near, far) = UnixStream::pair().expect("a pair");
+            near.set_nonblocking(true).expect("an open socket");
+            far.set_nonblocking(true).expect("an open socket");
+            let near = TcpStream::from_std(OwnedFd::from(near).into()).expect("an open socket");
+            let mut far = tokio::net::UnixStream::from_std(far).expect("an open socket");
+            assert!(near.set_nodelay(true).is_err(), "the option does not fail here");
+            let mut connection = speak(near, Permit::of(&Rc::default())).await.expect("it is up");
+            let upstream = async {
+                let mut head = [0; 64];
+                assert!(far.read(&mut head).await.expect("open") > 0);
+                far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("read");
+            };
+            let request = call(Method::GET, b"").request(Duration::from_millis(2500));
+            let (answer, ()) = tokio::join!(connection.sender.send_request(request), upstream);
+            assert_eq!(answer.expect("it is answered").status(), StatusCode::OK);
+        });
+    }
 }
