Learn the usual latency equally slowly both ways while a crowd is met

Evidence, n0's lines. Good: '92 taken 87 served, 305 ms ... crowding 0.16 ... limits 14.8 14.3 7.7 7.6 37.7, usual ms 216 111 150'. Bad, at 1010 s: '183 taken 49 served, 223 ms ... crowding 0.80, failing 0.00, had 1.00, limits 3.9 3.6 2.0 2.0 9.8, usual ms 74 78 63'. Calls take no longer than before, and none is late, full or in error, yet two in three are denied: the limits lie at the floor of a jam, as the usual latency, new in the line, has sunk to a third. Against it every ordinary call counts as a crowd.

Ruled out: servers in trouble (short, steady times all the while; the tier behind: crowding 0.00), lists (4 of 4 ready), sockets (50 of 240), the retries that the denials cause (they follow, from 300 s on).

At fault: Latency::learn in decide.rs. While crowded it took a tenth of a step upwards and a whole one downwards, so that it rested where ten times as much lies above as below, and a crowd kept itself alive. It now takes a tenth both ways: a crowd still does not become the custom.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -533,7 +533,8 @@
     fn learn(&mut self, took: f64, step: f64, crowded: bool) {
         self.known += 1.0;
         let over = took.ln() - self.typical;
-        let step = if crowded && over > 0.0 { step / 10.0 } else { step }.min(TYPICAL_STEP);
+        // Both ways alike: a crowd that taught mostly short times would outlast itself.
+        let step = if crowded { step / 10.0 } else { step }.min(TYPICAL_STEP);
         // The first call is taken whole.
         let most = if self.known > 1.0 { 1.0 } else { f64::MAX };
         self.typical += step.max(1.0 / self.known) * over.clamp(-most, most);
@@ -655,9 +656,10 @@
     /// How the limits and the tier stand, for the operator's log.
     #[must_use]
     pub fn vitals(&self) -> String {
-        let rates: Vec<_> = self.limits.iter().map(|limit| format!("{:.1}", limit.rate.min(1e6))).collect();
+        let rates: String = self.limits.iter().map(|l| format!(" {:.1}", l.rate.min(1e6))).collect();
+        let usual: String = self.latencies.iter().map(|l| format!(" {:.0}", l.seconds() * 1e3)).collect();
         let (crowding, failures, had) = (self.crowding, self.tier_failures, self.subset.had);
-        format!("crowding {crowding:.2}, failing {failures:.2}, had {had:.2}, limits {}", rates.join(" "))
+        format!("crowding {crowding:.2}, failing {failures:.2}, had {had:.2}, limits{rates}, usual ms{usual}")
     }
 
     // --- Discovery ---
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -271,6 +271,33 @@
     assert!(passed < 400, "{passed} of 500 passed in a crowd");
 }
 
+/// Found on a day of 45 minutes: in a crowd the usual latency was learned downwards ten times as fast as upwards
+/// and sank to a third, so that calls which took what they always had passed for a crowd ever after.
+#[test]
+fn a_crowd_ends_once_calls_take_their_usual_times() {
+    let mut bench = ten_a_second();
+    // Calls differ by far, mixed evenly.
+    let took = [13, 135, 23, 243, 42, 437, 75];
+    let mut run = |seconds: u64, slower_tenths: u64| {
+        let mut passed = 0;
+        for _ in 0..seconds * 8 {
+            bench.pass(millis(125));
+            let (id, actions) = bench.offer(Some(0));
+            if sent(&actions).is_some() {
+                passed += 1;
+                bench.end(id, 0, Outcome::Good, millis(took[passed % 7] * slower_tenths / 10));
+            }
+        }
+        passed
+    };
+    assert_eq!(run(120, 10), 960);
+    let passed = run(120, 16);
+    assert!(passed < 960 * 3 / 4, "{passed} of 960 passed in the crowd");
+    run(120, 10);
+    let passed = run(60, 10);
+    assert!(passed > 480 * 95 / 100, "{passed} of 480 passed two minutes after the crowd");
+}
+
 /// Found on an overloaded day: clients that retried at once wore down a die cast for each call, and nearly
 /// every part of a call became a whole one.
 #[test]
