Count a crowd only where crowding lies beyond one deviation of chance

The lines of n0:

5.015 ... 101 taken, 88 served, 3 denied ... crowding 0.29, ... limits 7.6 7.2 4.1 4.1 18.5 10.016 ... 133 taken, 66 served, 70 denied ... crowding 0.17, ... limits 8.5 8.0 4.6 4.7 20.9

The uncut limit of a front is some 61 a second (n1, n4, n12, n16 at 10 s show "limits 21.2 20.0 11.4 11.4 60.8" and deny nothing); all others had been cut to a third of it before the release began. In the calm window to 5 s the fronts, all facing the same upstreams, showed crowding of 0.00, 0.03, 0.07, 0.14 ... 0.29, 0.33, 0.34: a spread that one tier in one state cannot give, but the few calls of one copy can. Crowding is a running mean of ln(took / usual) over some two seconds of calls; with latencies whose logarithms differ by about one, forty calls leave it a deviation of some 0.1, and 0.2 is crossed by chance alone. Each crossing drops the limits, and callers dealt more than the mean are then denied; their retries (1.95 tries a request at 10 s) bring more.

At fault, src/decide.rs, Balancer::meet: `let crowded = self.crowding > CROWDED;` took the mean of few calls for the tier's state. The spread of the samples is now learned beside their mean, and a crowd is met only where the mean lies beyond CHANCE deviations of the running mean; the depth of a drop still comes from the mean itself, so that a true crowd cuts as deep as before (a_crowd_ends_once_calls_take_their_usual_times still holds; with two deviations it did not, so one is kept).

Test: few_calls_that_differ_by_far_are_no_crowd, a copy of twenty dealt a part and two thirds of its share, calls of steady but widely spread latency: 0.677 admitted before, 0.906 after.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,7 +43,7 @@
 const NOTICE: f64 = 12.0;
 /// Over-share worth from which the excess is worth serving, so that no ceiling holds.
 const EXCESS_COUNTS: f64 = 0.5;
-/// Standard deviations of chance allowed above a fair part, so that few calls are not taken for many.
+/// Standard deviations of chance allowed above a fair part or a crowd, so that few calls are not taken for many.
 const CHANCE: f64 = 1.0;
 /// Calls a second gained by a finish in time: about 5% a second at the limit.
 const RISE: f64 = 0.05;
@@ -576,8 +576,8 @@
     slots: FxHashMap<UpstreamId, usize>,
     free: Vec<usize>,
     ready: Vec<usize>,
-    /// Share of the calls that met crowding lately, and the time of the next drop for it.
-    crowding: f64,
+    /// Share of the calls that met crowding lately and its spread (a variance), and the time of the next drop.
+    crowding: (f64, f64),
     drop_after: f64,
     tier_failures: f64,
     tier_slowness: f64,
@@ -618,7 +618,7 @@
             slots: FxHashMap::default(),
             free: Vec::new(),
             ready: Vec::new(),
-            crowding: 0.0,
+            crowding: (0.0, 0.0),
             drop_after: 0.0,
             tier_failures: 0.0,
             tier_slowness: 1.0,
@@ -665,7 +665,7 @@
     pub fn vitals(&self) -> String {
         let rates: String = self.limits.iter().map(|l| format!(" {:.1}", l.rate.min(1e6))).collect();
         let usual: String = self.latencies.iter().map(|l| format!(" {:.0}", l.seconds() * 1e3)).collect();
-        let (crowding, failures, had) = (self.crowding, self.tier_failures, self.subset.had);
+        let (crowding, failures, had) = (self.crowding.0, self.tier_failures, self.subset.had);
         format!("crowding {crowding:.2}, failing {failures:.2}, had {had:.2}, limits{rates}, usual ms{usual}")
     }
 
@@ -1185,15 +1185,18 @@
         // The tenants meet the same tier: a small one's own calls are too few to tell of a jam in time.
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
-        self.crowding += (1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT) * (sample - self.crowding);
-        let crowded = self.crowding > CROWDED;
+        let (weight, off) = ((1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT), sample - self.crowding.0);
+        self.crowding.1 += weight * (off * off - self.crowding.1);
+        self.crowding.0 += weight * off;
+        // Of the few calls of one of many copies, chance alone makes a crowd: one is met only beyond it.
+        let crowded = self.crowding.0 - CHANCE * (self.crowding.1 * weight / (2.0 - weight)).sqrt() > CROWDED;
         if outcome == Outcome::Good {
             self.latencies[class.0].learn(took.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
         }
         if crowded && now >= self.drop_after {
             self.drop_after = now + between(&mut self.rng, DROP_EVERY_S);
             for (limit, suppressor) in self.limits.iter_mut().zip(&mut self.suppressors) {
-                limit.drop(self.crowding, suppressor.accepted_rate(now));
+                limit.drop(self.crowding.0, suppressor.accepted_rate(now));
             }
         } else if !crowded && !bad && outcome == Outcome::Good {
             self.limits[tenant].rise();
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -359,3 +359,42 @@
     }
     assert!(tried.iter().all(|&calls| calls > 40), "{tried:?}");
 }
+
+/// Found on days with a hundred balancers: fronts that saw some twenty calls a second met a crowd by chance
+/// alone, as few calls that differ by far average out slowly, and denied the callers they were dealt over their
+/// parts while the tier was at ease. Calls here take their usual times throughout, spread as on those days.
+#[test]
+fn few_calls_that_differ_by_far_are_no_crowd() {
+    let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+    settings.copies = 20;
+    settings.tenants = vec![Tenant { quota: Some(6.0 * 20.0) }; 2];
+    settings.over_share_worth = 0.2;
+    let mut bench = Bench::new(settings, 5, (0..8).map(member).collect());
+    // A fixed stream of chance: the log of a call's time is spread by about one around its middle.
+    let mut state = 0x9e37_79b9_7f4a_7c15_u64;
+    let mut spread = || {
+        let sum: f64 = (0..4)
+            .map(|_| {
+                state ^= state << 13;
+                state ^= state >> 7;
+                state ^= state << 17;
+                (state >> 11) as f64 / (1u64 << 53) as f64
+            })
+            .sum();
+        (sum - 2.0) * 1.7
+    };
+    let (mut offered, mut passed) = (0, 0);
+    for call in 0..1800 {
+        bench.pass(millis(50));
+        let (id, actions) = bench.offer(Some(call % 2));
+        offered += u32::from(call >= 200);
+        if sent(&actions).is_some() {
+            passed += u32::from(call >= 200);
+            let took = (150.0 * spread().exp()).clamp(5.0, 2900.0);
+            bench.end(id, 0, Outcome::Good, millis(took as u64));
+        }
+    }
+    // Twenty calls a second are a part and two thirds of this copy's: one of twenty may be dealt that many.
+    let part = f64::from(passed) / f64::from(offered);
+    assert!(part > 0.85, "{part} admitted while nothing was crowded");
+}
