--- a/src/decide.rs
+++ b/src/decide.rs
@@ -149,7 +149,7 @@
 }
 
 /// The suppressed strategy of the source page for one key.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Suppressor {
     bucket_s: f64,
     buckets: [Bucket; BUCKETS],
@@ -166,17 +166,7 @@
 
 impl Suppressor {
     fn new(bucket_s: f64) -> Self {
-        Self {
-            bucket_s,
-            buckets: [Bucket::default(); BUCKETS],
-            current: 0,
-            first: None,
-            sum: Bucket::default(),
-            cast: 0.0,
-            cast_at: 0,
-            factor: 0.0,
-            factor_bucket: u64::MAX,
-        }
+        Self { bucket_s, factor_bucket: u64::MAX, ..Self::default() }
     }
 
     fn roll(&mut self, now: f64) {
@@ -491,7 +481,7 @@
     withdrawn: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Entry {
     class: ClassId,
     tenant: usize,
@@ -793,10 +783,7 @@
             tenant,
             arrived: now,
             deadline: now + request.time_left.as_secs_f64(),
-            attempts: Vec::new(),
-            out: 0,
-            closed: false,
-            streaming: false,
+            ..Entry::default()
         };
         self.ledger.entries.insert(request.id, entry);
         if !self.admit(now, tenant) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,7 +19,7 @@
 pub struct UpstreamId(pub u32);
 
 /// Position of a class in [`Settings::classes`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
 
 /// Position of a tenant in [`Settings::tenants`].
