--- a/src/decide.rs
+++ b/src/decide.rs
@@ -113,6 +113,9 @@
 const CROWDING_S: f64 = 2.0;
 /// Weight of one call in that share, at most.
 const CROWDING_WEIGHT: f64 = 0.15;
+/// Weight of a call let in before the latest drop, in parts of a fresh one's: only slow ones are left to end, few
+/// fresh ones beside them, and a drop would call for the next. Not none: in a jam fresh calls end too late.
+const BEFORE_DROP: f64 = 0.3;
 /// Crowding from which a limit drops.
 const CROWDED: f64 = 0.2;
 /// Seconds over which the typical latency of a class is learned: a crowd must not become the custom...
@@ -149,7 +152,7 @@
 }
 
 /// The suppressed strategy of the source page for one key.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Suppressor {
     bucket_s: f64,
     buckets: [Bucket; BUCKETS],
@@ -166,17 +169,7 @@
 
 impl Suppressor {
     fn new(bucket_s: f64) -> Self {
-        Self {
-            bucket_s,
-            buckets: [Bucket::default(); BUCKETS],
-            current: 0,
-            first: None,
-            sum: Bucket::default(),
-            cast: 0.0,
-            cast_at: 0,
-            factor: 0.0,
-            factor_bucket: u64::MAX,
-        }
+        Self { bucket_s, factor_bucket: u64::MAX, ..Self::default() }
     }
 
     fn roll(&mut self, now: f64) {
@@ -491,7 +484,7 @@
     withdrawn: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Entry {
     class: ClassId,
     tenant: usize,
@@ -576,9 +569,10 @@
     slots: FxHashMap<UpstreamId, usize>,
     free: Vec<usize>,
     ready: Vec<usize>,
-    /// Share of the calls that met crowding lately and its spread (a variance), and the time of the next drop.
+    /// Share of the calls that met crowding lately and its spread (a variance), and the times of the latest drop
+    /// and of the next at the earliest.
     crowding: (f64, f64),
-    drop_after: f64,
+    drops: (f64, f64),
     tier_failures: f64,
     tier_slowness: f64,
     /// Slowness of each kind of machine and, last, of those of no known kind: what is expected of an upstream
@@ -619,7 +613,7 @@
             free: Vec::new(),
             ready: Vec::new(),
             crowding: (0.0, 0.0),
-            drop_after: 0.0,
+            drops: (0.0, 0.0),
             tier_failures: 0.0,
             tier_slowness: 1.0,
             kind_slowness: vec![1.0; settings.kinds + 1],
@@ -793,10 +787,7 @@
             tenant,
             arrived: now,
             deadline: now + request.time_left.as_secs_f64(),
-            attempts: Vec::new(),
-            out: 0,
-            closed: false,
-            streaming: false,
+            ..Entry::default()
         };
         self.ledger.entries.insert(request.id, entry);
         if !self.admit(now, tenant) {
@@ -1063,8 +1054,7 @@
         attempt.state = if outcome.never_ran() { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
-        let (class, tenant) = (entry.class, entry.tenant);
-        let late = now - entry.arrived > self.settings.classes[class.0].aim.as_secs_f64();
+        let (class, tenant, arrived) = (entry.class, entry.tenant, entry.arrived);
         entry.closed |= finished;
         let (closed, idle) = (entry.closed, entry.out == 0);
         self.learn_outcome(now, slot, class, outcome, took);
@@ -1090,7 +1080,7 @@
         // a row are a crowd.
         let refusals = outcome == Outcome::Refused && number.0 > 0;
         if refusals || !(again && outcome.never_ran()) {
-            self.meet(now, class, tenant, outcome, took, late);
+            self.meet(now, class, tenant, outcome, took, arrived);
         }
     }
 
@@ -1167,7 +1157,8 @@
     }
 
     /// What the end of a call tells of the crowd that it met, and so of the limits.
-    fn meet(&mut self, now: f64, class: ClassId, tenant: usize, outcome: Outcome, took: f64, late: bool) {
+    fn meet(&mut self, now: f64, class: ClassId, tenant: usize, outcome: Outcome, took: f64, arrived: f64) {
+        let late = now - arrived > self.settings.classes[class.0].aim.as_secs_f64();
         let bad = match outcome {
             Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed => true,
             Outcome::Error => self.tier_failures > CROWDED_ERRORS,
@@ -1185,18 +1176,25 @@
         // The tenants meet the same tier: a small one's own calls are too few to tell of a jam in time.
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
-        let (weight, off) = ((1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT), sample - self.crowding.0);
+        let fresh = if arrived < self.drops.0 { BEFORE_DROP } else { 1.0 };
+        let weight = (1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT) * fresh;
+        let off = sample - self.crowding.0;
         self.crowding.1 += weight * (off * off - self.crowding.1);
         self.crowding.0 += weight * off;
-        // Of the few calls of one of many copies, chance alone makes a crowd: one is met only beyond it.
-        let crowded = self.crowding.0 - CHANCE * (self.crowding.1 * weight / (2.0 - weight)).sqrt() > CROWDED;
+        // Of the few calls of one of many copies, chance alone makes a crowd: one is met only beyond that of the
+        // calls and of the usual latency, which a fresh copy has from few.
+        let few = weight / (2.0 - weight) + 1.0 / self.latencies[class.0].known.max(1.0);
+        let crowded = self.crowding.0 - CHANCE * (self.crowding.1 * few).sqrt() > CROWDED;
         if outcome == Outcome::Good {
             self.latencies[class.0].learn(took.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
         }
-        if crowded && now >= self.drop_after {
-            self.drop_after = now + between(&mut self.rng, DROP_EVERY_S);
-            for (limit, suppressor) in self.limits.iter_mut().zip(&mut self.suppressors) {
-                limit.drop(self.crowding.0, suppressor.accepted_rate(now));
+        if crowded && now >= self.drops.1 {
+            self.drops = (now, now + between(&mut self.rng, DROP_EVERY_S));
+            for (place, (limit, suppressor)) in self.limits.iter_mut().zip(&mut self.suppressors).enumerate()
+            {
+                // What all may send was let in by the part of the tier that is had, which is taken off again.
+                let had = if place == all && all > 0 { self.subset.had } else { 1.0 };
+                limit.drop(self.crowding.0, suppressor.accepted_rate(now) / had);
             }
         } else if !crowded && !bad && outcome == Outcome::Good {
             self.limits[tenant].rise();
