Give a connection its moment for a first request in the tail of a drain

Seen: sigterm_finishes_what_was_taken fails on a busy machine with 'an answer' (2 of 40 plays beside 12 busy loops): a connection accepted in the tail of the drain, its request written, was closed with no answer. With clients that write 40 ms after they connect it happens in 6 of 6 plays on an idle machine. Ruled out: the pause before the close being overtaken on a late runtime (332 plays that looked into the socket at the end of the pause never found it unread there, for the pause was not reached); the end of the program (it had a request out). At fault: connection() in server.rs, which called hyper's graceful_shutdown first and then paused: hyper 1.12 closes a connection at once that has seen neither a read nor a write (disable_keep_alive, has_initial_read_write_state), so that only a request already in the socket was ever answered. The pause now comes before, and is 300 ms in place of 100, which still ends before what came must be answered. The end of the drain now also waits for connections that have had no request yet, and for 50 ms with none, as a request that crossed a close comes once more on a new one.

--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -49,8 +49,12 @@
 const DRAIN_LAST: Duration = Duration::from_millis(350);
 /// How long new connections are let in after that at the least.
 const DRAIN_LATE: Duration = Duration::from_millis(150);
-/// How long a connection that has had no request waits for one once it should close.
-const UNUSED_GRACE: Duration = Duration::from_millis(100);
+/// How long a connection that has had no request waits for one once it should close: a caller writes it right after
+/// its connection is up, but may be late itself. Together with [`DRAIN_LATE`] it ends before [`DRAIN_LAST`].
+const UNUSED_GRACE: Duration = Duration::from_millis(300);
+/// How long no connection must have been open before the program ends: a caller whose request crossed the close of
+/// its connection comes with a new one.
+const DRAIN_QUIET: Duration = Duration::from_millis(50);
 /// How often the end of a drain is looked for.
 const DRAIN_LOOK: Duration = Duration::from_millis(10);
 /// The first request of a connection must have come whole within this time: a peer that sends none is owed an
@@ -194,10 +198,14 @@
     let _ = phase.send(Phase::Closing);
     callers.log_drain(stopped);
     accept_until(&listener, &callers, sleep(DRAIN_LATE)).await;
-    // Connections that carried a request end with its answer. One that never did is owed nothing; a caller
-    // that never takes its answer must not hold up the end.
-    while callers.owed().0 > 0 && stopped.elapsed() < longest + DRAIN_OPEN {
+    // Connections that carried a request end with its answer, and one that has not yet may have it in the socket
+    // until its own time is over; a caller that never takes its answer must not hold up the end.
+    let mut quiet = Instant::now();
+    while quiet.elapsed() < DRAIN_QUIET && stopped.elapsed() < longest + DRAIN_OPEN {
         accept_until(&listener, &callers, sleep(DRAIN_LOOK)).await;
+        if !callers.links.borrow().is_empty() {
+            quiet = Instant::now();
+        }
     }
     callers.log_drain(stopped);
     Ok(())
@@ -278,9 +286,8 @@
         _ = served.as_mut() => return,
         () = closing => {}
     }
-    served.as_mut().graceful_shutdown();
-    // It ends now if it is between requests, but waits for the first on one that never had any: that one gets
-    // a moment, as its request may be in the socket, and is then closed like the others.
+    // The server would end one that never had a request at once, though the first may be on its way or in the
+    // socket: that one gets a moment, and is then closed like the others.
     if !link.used.get() {
         tokio::select! {
             biased;
@@ -291,6 +298,8 @@
             return;
         }
     }
+    // It ends now if it is between requests.
+    served.as_mut().graceful_shutdown();
     let _ = served.await;
 }
 
