Keep a watch open at the agent through outages, and start from what it has

A moved discovery forgets earlier failures in either mode. Health waits for discovery's first word, 0.5 s at the longest. Tests: a_drain_missed_in_an_outage_is_heard_within_six_seconds, a_new_process_waits_for_what_discovery_already_has and failures_hold_back_neither_a_moved_discovery_nor_an_agent.

--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode, header};
+use peathatch::interface::DiscoveryMode;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
@@ -73,8 +74,22 @@
     1.0
 }
 
-/// How long the first word may take: discovery works through calls in turn.
-const FIRST_WORD: Duration = Duration::from_secs(5);
+/// How long a new watch may take to speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience(Duration);
+
+impl Patience {
+    /// By how lists are had. Discovery works through calls in turn. An agent answers at once; one that does not
+    /// is cut off from discovery, and whether it will speak on a watch that it left waiting is not told, so that
+    /// new ones are tried meanwhile: several within the 6 s after which a silent watch's news count as told.
+    #[must_use]
+    pub fn of(mode: DiscoveryMode) -> Self {
+        Self(Duration::from_secs(if mode == DiscoveryMode::Agent { 1 } else { 5 }))
+    }
+}
+
+/// How long the connection may take to come up: discovery's address is on this machine.
+const CONNECT: Duration = Duration::from_secs(1);
 /// A watch says something every 2 s; silent for well over that, it is dead. What it would have told counts as
 /// told 6 s late at most, and by then a new watch must have been asked for and answered, which takes seconds.
 const SILENCE: Duration = Duration::from_millis(3200);
@@ -100,17 +115,18 @@
 }
 
 /// Watches the list from `since` on until the watch ends, then tells the driver so.
-pub async fn watch(driver: Rc<Driver>, address: SocketAddr, since: u64, number: u64) {
-    let Err(error) = follow(&driver, address, since).await;
+pub async fn watch(driver: Rc<Driver>, address: SocketAddr, patience: Patience, since: u64, number: u64) {
+    let Err(error) = follow(&driver, address, patience, since).await;
     driver.watch_broke(number, &error.to_string());
 }
 
 async fn follow(
     driver: &Rc<Driver>,
     address: SocketAddr,
+    Patience(first_word): Patience,
     since: u64,
 ) -> Result<std::convert::Infallible, WatchError> {
-    let dial = Dial { address, patience: FIRST_WORD };
+    let dial = Dial { address, patience: CONNECT };
     let mut conn =
         upstream::connect(driver.reserved_permit(), dial).await.map_err(|_| WatchError::Connect)?;
     let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
@@ -118,13 +134,13 @@
         .body(Full::<Bytes>::default())
         .unwrap_or_default();
     let response =
-        timeout(FIRST_WORD, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        timeout(first_word, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
     let mut body = response.into_body();
     let mut text: Vec<u8> = Vec::new();
-    let mut patience = FIRST_WORD;
+    let mut patience = first_word;
     let mut heard = false;
     loop {
         let frame = timeout(patience, body.frame()).await.map_err(|_| WatchError::Silent)?;
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -21,13 +21,16 @@
 
 use crate::config::Config;
 use crate::counters::{self, Counters};
-use crate::discovery::{self, Endpoint, Update};
+use crate::discovery::{self, Endpoint, Patience, Update};
 use crate::trust::Trust;
 use crate::upstream::{self, Call, ConnectError, Connection, Ended, Job};
 
 /// How far the module's clock runs ahead of the program's start: upstreams that started before it have a
 /// time on that clock too. One that started earlier still has been warm for long.
 const CLOCK_LEAD: Duration = Duration::from_secs(3600);
+/// How long a new process waits for discovery's first word before it says that it can serve: the agent on its own
+/// machine answers at once unless discovery is down, and then the list of the configuration is the best there is.
+const TOLD_WITHIN: Duration = Duration::from_millis(500);
 /// Part of the settings' idle limit after which a kept connection is closed: one that the upstream closes as a
 /// request is written ends that request as a reset.
 const KEEP_PART: f64 = 0.7;
@@ -124,6 +127,8 @@
     index: u64,
     /// Some list has come, with the configuration or from discovery.
     has_list: bool,
+    /// Discovery has spoken, which goes before the list of the configuration.
+    told: bool,
     watch: Option<AbortHandle>,
     watch_number: u64,
     counters: Counters,
@@ -138,6 +143,7 @@
     /// Unix time in milliseconds at the zero of the module's clock.
     zero_ms: u64,
     discovery: Cell<SocketAddr>,
+    patience: Patience,
     connect_timeout: Duration,
     keep: Duration,
     trust: RefCell<Trust>,
@@ -153,8 +159,12 @@
     pub fn start(config: Config) -> Result<Rc<Self>, SettingsError> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mut loaded = config.loaded;
-        // 'Automatic' speaks of the simulator: here a change comes only over a watch, which the decisions keep.
-        loaded.settings.discovery = DiscoveryMode::Subscribe;
+        // 'Automatic' speaks of the simulator: here a change comes only over a watch, which the decisions keep. It
+        // means that lists are pushed to an agent on this machine.
+        if loaded.settings.discovery == DiscoveryMode::Push {
+            loaded.settings.discovery = DiscoveryMode::Agent;
+        }
+        let patience = Patience::of(loaded.settings.discovery);
         let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
         let classes = loaded.settings.classes.clone();
         let core = Core {
@@ -168,6 +178,7 @@
             kept: FxHashMap::default(),
             index: 0,
             has_list: false,
+            told: false,
             watch: None,
             watch_number: 0,
             counters: Counters::default(),
@@ -179,6 +190,7 @@
             zero: Instant::now(),
             zero_ms: unix.saturating_sub(CLOCK_LEAD).as_millis() as u64,
             discovery: Cell::new(config.discovery),
+            patience,
             connect_timeout: loaded.connect_timeout,
             keep,
             trust: RefCell::new(Trust::new(keep)),
@@ -220,10 +232,12 @@
         self.connect_timeout
     }
 
-    /// Whether a list of upstreams is in hand.
+    /// Whether a list of upstreams is in hand, and not just the configuration's, which may be old, while discovery
+    /// may still be about to speak: what it has counts as told from the first moment.
     #[must_use]
     pub fn can_serve(&self) -> bool {
-        self.core.borrow().has_list
+        let core = self.core.borrow();
+        core.has_list && (core.told || self.zero.elapsed() >= TOLD_WITHIN)
     }
 
     /// How a class's requests may be repeated and how long its clients wait.
@@ -446,17 +460,21 @@
 
     /// Takes in a word of the watch.
     pub fn learn(self: &Rc<Self>, update: Update) {
-        self.core.borrow_mut().index = update.index;
+        {
+            let mut core = self.core.borrow_mut();
+            core.index = update.index;
+            core.told = true;
+        }
         let kind = if update.snapshot { ListUpdate::Whole } else { ListUpdate::Patch };
         self.take_list(update, kind);
     }
 
-    /// Discovery listens elsewhere now: the decisions hear that the watch broke, and ask for one there. Until
-    /// then the old one goes on.
+    /// Discovery listens elsewhere now: the decisions hear it, and ask for a watch there. Until then the old one
+    /// goes on.
     pub fn move_discovery(self: &Rc<Self>, address: SocketAddr) {
         if self.discovery.replace(address) != address {
             crate::log(format_args!("discovery is at {address} now"));
-            self.handle(Event::List(ListUpdate::Broken));
+            self.handle(Event::List(ListUpdate::Moved));
         }
     }
 
@@ -579,8 +597,8 @@
                     watch.abort();
                 }
                 core.watch_number += 1;
-                let watch =
-                    discovery::watch(Rc::clone(self), self.discovery.get(), core.index, core.watch_number);
+                let (address, number) = (self.discovery.get(), core.watch_number);
+                let watch = discovery::watch(Rc::clone(self), address, self.patience, core.index, number);
                 core.watch = Some(spawn_local(watch).abort_handle());
             }
             // Health checks are not made here: where a site allowed them, they would end unsent.
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
 use common::*;
 
 /// Guards drains: once told, nothing new goes there, not even over a connection that was kept.
@@ -98,15 +100,54 @@
 fn health_waits_for_a_list() {
     let upstream = Upstream::start(|_, _| ok("served"));
     let (balancer, discovery) = Balancer::with(&[], 30.0);
-    let mut caller = balancer.caller();
-    let mut health = || {
-        caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
-        caller.answer().expect("an answer").status()
-    };
-    assert_eq!(health(), 503);
+    assert_eq!(balancer.health(), 503);
     let (_, watch) = discovery.watch();
     watch.says(8, true, &[endpoint("s-1", upstream.address, 0, "ready")]);
-    wait_for("the balancer can serve", || (health() == 200).then_some(()));
+    wait_for("the balancer can serve", || (balancer.health() == 200).then_some(()));
+}
+
+/// Guards a new process against the list of its configuration, which may be old: what discovery has counts as told
+/// from the first moment, so the front hears of the balancer once that has come, or does not come.
+#[test]
+fn a_new_process_waits_for_what_discovery_already_has() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let discovery = Discovery::beating(LONG);
+    let known = [endpoint("s-1", old.address, 0, "ready")];
+    let text = configuration(discovery.address, &known, 30.0, 1024).replace("subscribe", "automatic");
+    let balancer = Balancer::start(&text);
+    assert_eq!(balancer.health(), 503);
+    let (_, watch) = discovery.watch();
+    let drained = endpoint("s-1", old.address, 0, "draining");
+    watch.says(8, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
+    wait_for("the balancer can serve", || (balancer.health() == 200).then_some(()));
+    assert_eq!(balancer.caller().ask("order", "one").body, b"new");
+    assert!(old.requests().is_empty());
+    // With discovery down, the list in hand has to do.
+    let down = configuration(Discovery::beating(LONG).address, &known, 30.0, 1024);
+    let balancer = Balancer::start(&down);
+    wait_for("the balancer can serve", || (balancer.health() == 200).then_some(()));
+    assert_eq!(balancer.caller().ask("order", "one").body, b"old");
+}
+
+/// Guards drains against an outage: a watch falls silent, the next is opened while discovery is still down and never
+/// gets a word, and what the first one missed counts as told 6 s after it fell silent.
+#[test]
+fn a_drain_missed_in_an_outage_is_heard_within_six_seconds() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let discovery = Discovery::beating(LONG);
+    let known = [endpoint("s-1", old.address, 0, "ready")];
+    let text = configuration(discovery.address, &known, 30.0, 1024).replace("subscribe", "automatic");
+    let balancer = Balancer::start(&text);
+    let (_, watch) = discovery.watch();
+    watch.says(8, false, &[endpoint("s-2", new.address, 1, "ready")]);
+    let silent = Instant::now();
+    let (_, _never_speaks) = discovery.watch();
+    let (line, watch) = discovery.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=8 HTTP/1.1");
+    watch.says(9, false, &[endpoint("s-1", old.address, 0, "draining")]);
+    let asked = |body| balancer.caller().ask("order", body).body;
+    wait_for("the drain is taken in", || (0..8).all(|_| asked("one") == b"new").then_some(()));
+    assert!(silent.elapsed() < Duration::from_secs(6), "{:?}", silent.elapsed());
 }
 
 /// Guards against a list that never changes: settings under which lists are said to come by themselves leave the
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -631,7 +631,7 @@
         match event {
             Event::Started => {
                 actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-                if self.settings.discovery == DiscoveryMode::Subscribe {
+                if self.settings.discovery != DiscoveryMode::Push {
                     self.subscribe(now, actions);
                 }
             }
@@ -675,14 +675,16 @@
     }
 
     fn learn_list(&mut self, now: f64, update: ListUpdate) {
-        if !matches!(update, ListUpdate::StaleCopy(_) | ListUpdate::Broken) {
+        if !matches!(update, ListUpdate::StaleCopy(_) | ListUpdate::Broken | ListUpdate::Moved) {
             self.discovery = Discovery { subscribed: true, backoff_s: 0.0, ..self.discovery };
         }
         match update {
-            ListUpdate::Broken => {
-                // Copies whose calls fail together must not come back together.
-                let backoff = (self.discovery.backoff_s * 2.0)
-                    .clamp(RESUBSCRIBE_S, self.ask_within().max(RESUBSCRIBE_S));
+            ListUpdate::Broken | ListUpdate::Moved => {
+                // Copies whose calls fail together must not come back together; each agent has one copy alone.
+                let own = self.settings.discovery == DiscoveryMode::Agent;
+                let most = if own { 0.0 } else { self.ask_within().max(RESUBSCRIBE_S) };
+                let before = if update == ListUpdate::Moved { 0.0 } else { self.discovery.backoff_s };
+                let backoff = (before * 2.0).max(RESUBSCRIBE_S).min(most);
                 self.discovery.subscribed = false;
                 self.discovery.backoff_s = backoff;
                 self.discovery.ask_at = now + between(&mut self.rng, (backoff / 2.0, backoff));
@@ -1226,7 +1228,7 @@
 
     fn sweep(&mut self, now: f64, actions: &mut Vec<Action>) {
         actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-        if self.settings.discovery == DiscoveryMode::Subscribe
+        if self.settings.discovery != DiscoveryMode::Push
             && !self.discovery.subscribed
             && now >= self.discovery.ask_at
         {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -92,6 +92,9 @@
     Push,
     /// Changes come only to a copy that has subscribed.
     Subscribe,
+    /// Changes come over a subscription at an agent on the copy's own machine, which is told at once what there is
+    /// and answers at no cost: a broken one is opened anew without a wait.
+    Agent,
 }
 
 /// What the site allows.
@@ -330,6 +333,8 @@
     Patch(Vec<Member>),
     /// The question failed or the subscription broke; the old list stands.
     Broken,
+    /// Discovery is elsewhere now: as after [`ListUpdate::Broken`], but earlier failures tell nothing of it.
+    Moved,
 }
 
 /// How an attempt ended.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use common::{START, millis};
+use common::{START, class, millis};
 use peathatch::interface::*;
 use peathatch::{Action, Balancer, Event, Settings};
 use proptest::prelude::*;
@@ -505,3 +505,36 @@
     });
     assert!(!sent(&actions) && actions.contains(&Action::Fail { request: RequestId(1) }), "{actions:?}");
 }
+
+/// The seconds from a word of discovery's until the copy asks for a new watch, after five failures in a row.
+fn asks_after(mode: DiscoveryMode, word: ListUpdate) -> f64 {
+    let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+    settings.discovery = mode;
+    settings.rules.ask_within = Some(millis(10_000));
+    let mut balancer = Balancer::new(settings, 7).expect("the settings make sense");
+    let mut now = START;
+    let mut asked = |balancer: &mut Balancer, event: Event| {
+        let (said, mut actions) = (now, Vec::new());
+        balancer.handle(now, event, &mut actions);
+        while !actions.contains(&Action::Subscribe) {
+            now += millis(200);
+            balancer.handle(now, Event::Wake, &mut actions);
+        }
+        (now - said).as_secs_f64()
+    };
+    asked(&mut balancer, Event::Started);
+    for _ in 0..5 {
+        asked(&mut balancer, Event::List(ListUpdate::Broken));
+    }
+    asked(&mut balancer, Event::List(word))
+}
+
+/// Guards drains in an outage and a move of discovery's within one: failures of a service of many copies space their
+/// calls out, but tell nothing of another address, and an agent of the copy's own is asked again before the grace of
+/// a drain (0.3 s) is over.
+#[test]
+fn failures_hold_back_neither_a_moved_discovery_nor_an_agent() {
+    assert!(asks_after(DiscoveryMode::Subscribe, ListUpdate::Broken) > 1.0);
+    assert!(asks_after(DiscoveryMode::Subscribe, ListUpdate::Moved) < 0.8);
+    assert!(asks_after(DiscoveryMode::Agent, ListUpdate::Broken) < 0.25);
+}
