See callers leave behind bytes that nobody reads yet, and close connections in order

Cause: hyper's server looks for a caller's end only while its own buffer is empty (`mid_message_detect_eof`). A caller that had sent a byte more behind its request and then closed went unseen up to the deadline, and its attempt ran on. Closing over unread bytes, it also reset connections under answers that callers had yet to read.

Change: `socket::Socket` lets the HTTP code and a watcher share a socket. While a request waits for its answer the watcher reads ahead, 16 KiB at most; what a caller sends beyond that is thrown away, and its connection closed behind the answer. Closes end the sending side and read out what comes for 0.3 s (not while sockets are short). A connection that is to be closed and whose answer stands unread for 2 s is let go. Heads are held to 32 KiB, where hyper would buffer 400 KiB for each peer. socket2, which tokio already brings, sets what the standard library can't.

Seen to fail without: `a_caller_that_sent_more_is_seen_to_leave` (never noticed in 30 s), `an_answer_reaches_a_caller_that_goes_on_sending`.

--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod server;
+pub mod socket;
 pub mod trust;
 pub mod upstream;
 
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -3,11 +3,12 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::{Future, pending};
+use std::future::{Future, pending, poll_fn};
 use std::io;
 use std::path::PathBuf;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +29,7 @@
 
 use crate::config::Config;
 use crate::driver::{Answer, Driver, Taken};
+use crate::socket::Socket;
 use crate::upstream::{BODY_MOST, Call};
 
 /// Taken off a caller's time: the answer must arrive before it is up.
@@ -64,6 +66,13 @@
 const IDLE_MOST: Duration = Duration::from_secs(60);
 /// The body of a later request must come within this time of its head.
 const BODY_WITHIN: Duration = Duration::from_secs(2);
+/// How long a closed connection waits for its caller to close too, reading out what still comes: closing over unread
+/// bytes would reset it and could take the answer along.
+const LINGER: Duration = Duration::from_millis(300);
+/// How long an answer may stand unread, once its connection is to be closed.
+const UNREAD: Duration = Duration::from_secs(2);
+/// Bytes of a request's head at most: more is no proper request, and many such must not fill the memory.
+const HEAD_MOST: usize = 32 * 1024;
 /// Wait after a failed accept, so that running out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -79,6 +88,8 @@
 struct Link {
     /// A request has come on it whose answer is not yet out.
     busy: Cell<bool>,
+    /// Its request waits for an answer, and for nothing from the caller.
+    waiting: Cell<bool>,
     /// It has ever carried a request; asking for the health is none.
     used: Cell<bool>,
     /// When it came.
@@ -107,6 +118,7 @@
         }
         let link = Rc::new(Link {
             busy: Cell::new(false),
+            waiting: Cell::new(false),
             used: Cell::new(false),
             opened: Instant::now(),
             since: Cell::new(Instant::now()),
@@ -246,8 +258,23 @@
 }
 
 async fn connection(callers: &Rc<Callers>, stream: TcpStream, link: &Rc<Link>) {
-    // Without it answers would wait for acknowledgements; one that can't be set is no reason to hang up.
-    let _ = stream.set_nodelay(true);
+    let socket = Socket::new(stream);
+    if talk(callers, &socket, link).await == End::Closing {
+        // Short of sockets it reads out what has come, and does not wait for more.
+        socket.close(if callers.driver.crowded() { Duration::ZERO } else { LINGER }).await;
+    }
+}
+
+/// How the talk with a caller ended.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    /// In order: what was written must reach the caller.
+    Closing,
+    /// The caller has gone, or takes nothing more.
+    Gone,
+}
+
+async fn talk(callers: &Rc<Callers>, socket: &Socket, link: &Rc<Link>) -> End {
     let service = service_fn(|request: Request<Incoming>| {
         let driver = &callers.driver;
         link.busy.set(true);
@@ -260,18 +287,21 @@
             if driver.crowded() {
                 callers.make_room();
             }
-            let mut response = respond(driver, request, whole_by, last).await;
+            let mut response = respond(driver, request, whole_by, last, &link.waiting).await;
             link.busy.set(false);
             link.since.set(Instant::now());
-            if *callers.phases.borrow() != Phase::Serving || driver.full() {
+            if *callers.phases.borrow() != Phase::Serving || driver.full() || socket.spilled() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
         }
     });
     let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(IDLE_MOST);
-    let mut served = pin!(server.serve_connection(TokioIo::new(stream), service));
+    server.timer(TokioTimer::new()).header_read_timeout(IDLE_MOST).max_buf_size(HEAD_MOST);
+    let mut served = pin!(server.serve_connection(TokioIo::new(socket.clone()), service));
+    // The server does not look past bytes that it has no use for yet, and a caller's end may be behind them.
+    let gone =
+        || poll_fn(|context| if link.waiting.get() { socket.poll_gone(context) } else { Poll::Pending });
     let mut phases = callers.phases.clone();
     let closing = async {
         tokio::select! {
@@ -283,7 +313,8 @@
     };
     tokio::select! {
         biased;
-        _ = served.as_mut() => return,
+        _ = served.as_mut() => return End::Closing,
+        () = gone() => return End::Gone,
         () = closing => {}
     }
     // The server would end one that never had a request at once, though the first may be on its way or in the
@@ -291,16 +322,33 @@
     if !link.used.get() {
         tokio::select! {
             biased;
-            _ = served.as_mut() => return,
+            _ = served.as_mut() => return End::Closing,
+            () = gone() => return End::Gone,
             () = sleep(UNUSED_GRACE) => {}
         }
         if !link.used.get() {
-            return;
+            return End::Closing;
         }
     }
     // It ends now if it is between requests.
     served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    tokio::select! {
+        biased;
+        _ = served.as_mut() => End::Closing,
+        () = gone() => End::Gone,
+        () = unread(link) => End::Gone,
+    }
+}
+
+/// Waits until a connection's last answer has been there for its caller for long enough.
+async fn unread(link: &Link) {
+    loop {
+        sleep_until(link.since.get() + UNREAD).await;
+        if !link.busy.get() && link.since.get().elapsed() >= UNREAD {
+            return;
+        }
+        sleep(UNREAD / 8).await;
+    }
 }
 
 /// Waits until a connection has had its time for a first request, in vain.
@@ -339,6 +387,7 @@
     request: Request<Incoming>,
     whole_by: Instant,
     last: Option<Instant>,
+    waiting: &Cell<bool>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == HEALTH {
         let status = if driver.can_serve() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -349,7 +398,10 @@
         Ok(_) if driver.full() => Answer::Refused { retry_after: None },
         Ok(mut taken) => {
             taken.deadline = last.map_or(taken.deadline, |last| taken.deadline.min(last));
-            answer(driver, taken).await
+            waiting.set(true);
+            let answer = answer(driver, taken).await;
+            waiting.set(false);
+            answer
         }
         Err(error) => {
             let status = match error {
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -25,6 +25,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::driver::{Driver, Permit};
+use crate::socket::Socket;
 
 /// Bytes of a body at most, either way.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -93,10 +94,8 @@
 
 /// Makes a connection of a socket that has come up.
 async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, ConnectError> {
-    // Without it requests may wait for acknowledgements; one that can't be set is no reason to hang up.
-    let _ = stream.set_nodelay(true);
     let written = Rc::new(Cell::new(0));
-    let io = Counted { stream, written: Rc::clone(&written), _permit: permit };
+    let io = Counted { socket: Socket::new(stream), written: Rc::clone(&written), _permit: permit };
     let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
     let task = tokio::task::spawn_local(async move {
         // How it ends shows in the request that is out on it, if one is.
@@ -107,7 +106,7 @@
 
 /// A socket that counts the bytes it has taken: what was never written whole never ran.
 struct Counted {
-    stream: TcpStream,
+    socket: Socket,
     written: Rc<Cell<u64>>,
     _permit: Permit,
 }
@@ -126,7 +125,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        Pin::new(&mut self.socket).poll_read(context, buffer)
     }
 }
 
@@ -136,16 +135,16 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let done = Pin::new(&mut self.socket).poll_write(context, bytes);
         self.count(done)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(&mut self.socket).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(&mut self.socket).poll_shutdown(context)
     }
 
     fn poll_write_vectored(
@@ -153,12 +152,12 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        let done = Pin::new(&mut self.socket).poll_write_vectored(context, parts);
         self.count(done)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
 
--- a/dahliahead/tests/callers.rs
+++ b/dahliahead/tests/callers.rs
@@ -2,10 +2,7 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, ChildStderr, Command, Stdio};
+use std::io::BufRead;
 use std::time::{Duration, Instant};
 
 use common::*;
@@ -119,48 +116,6 @@
     assert!(upstream.requests().len() < 48, "{}", upstream.requests().len());
 }
 
-fn program(configuration: &str) -> Child {
-    program_within(1024, configuration)
-}
-
-/// Writes the configuration file of the test that runs on this thread.
-fn write_configuration(configuration: &str) -> PathBuf {
-    let mut file = std::env::temp_dir();
-    file.push(format!("dahliahead-{}-{:?}.json", std::process::id(), std::thread::current().id()));
-    std::fs::File::create(&file)
-        .and_then(|mut file| file.write_all(configuration.as_bytes()))
-        .expect("written");
-    file
-}
-
-fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("sent");
-    assert!(sent.success());
-}
-
-/// Starts the program where descriptors really run out.
-fn program_within(descriptors: usize, configuration: &str) -> Child {
-    let file = write_configuration(configuration);
-    Command::new("/bin/sh")
-        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_dahliahead")])
-        .env_clear()
-        .env("PROXY_CONFIG", file)
-        // A failed test leaves it behind, which must not keep the test's own output open.
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("starts")
-}
-
-/// Where the program says that it listens; its log stays open with the reader.
-fn address(child: &mut Child) -> (SocketAddr, BufReader<ChildStderr>) {
-    let mut log = BufReader::new(child.stderr.take().expect("piped"));
-    let mut line = String::new();
-    log.read_line(&mut line).expect("a line");
-    let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
-    (address, log)
-}
-
 /// Guards the accept loop against EMFILE: with fewer descriptors than the budget says, and nobody who reads
 /// the log of it, callers are still served, then as before.
 #[test]
@@ -191,16 +146,6 @@
 /// A connection that is to be closed waits this long for its first request, and longer.
 const LATE: Duration = Duration::from_millis(250);
 
-/// Waits for a line of the log that holds `part`.
-fn wait_line(log: &mut BufReader<ChildStderr>, part: &str) {
-    let mut line = String::new();
-    wait_for(part, || {
-        line.clear();
-        log.read_line(&mut line).expect("a line");
-        line.contains(part).then_some(())
-    });
-}
-
 /// Guards planned restarts: after SIGTERM what was taken is finished, new connections are still served, each
 /// answer closes its connection, and the program ends by itself.
 #[test]
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -2,8 +2,10 @@
 //! Everything listens on port 0; tests wait for what must happen, with limits that only a hang meets.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -347,6 +349,62 @@
     }
 }
 
+// --- The program as a process ---
+
+pub fn program(configuration: &str) -> Child {
+    program_within(1024, configuration)
+}
+
+/// Writes the configuration file of the test that runs on this thread.
+pub fn write_configuration(configuration: &str) -> PathBuf {
+    let mut file = std::env::temp_dir();
+    file.push(format!("dahliahead-{}-{:?}.json", std::process::id(), std::thread::current().id()));
+    std::fs::File::create(&file)
+        .and_then(|mut file| file.write_all(configuration.as_bytes()))
+        .expect("written");
+    file
+}
+
+pub fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().expect("sent");
+    assert!(sent.success());
+}
+
+/// Starts the program where descriptors really run out.
+pub fn program_within(descriptors: usize, configuration: &str) -> Child {
+    let file = write_configuration(configuration);
+    Command::new("/bin/sh")
+        .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_dahliahead")])
+        .env_clear()
+        .env("PROXY_CONFIG", file)
+        // A failed test leaves it behind, which must not keep the test's own output open.
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("starts")
+}
+
+/// Where the program says that it listens; its log stays open with the reader.
+pub fn address(child: &mut Child) -> (SocketAddr, BufReader<ChildStderr>) {
+    let mut log = BufReader::new(child.stderr.take().expect("piped"));
+    let mut line = String::new();
+    log.read_line(&mut line).expect("a line");
+    let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+    (address, log)
+}
+
+/// Waits for a line of the log that holds `part`.
+pub fn wait_line(log: &mut BufReader<ChildStderr>, part: &str) {
+    let mut line = String::new();
+    wait_for(part, || {
+        line.clear();
+        log.read_line(&mut line).expect("a line");
+        line.contains(part).then_some(())
+    });
+}
+
+// --- Callers ---
+
 /// The text of a request as callers write it.
 fn request(class: &str, body: &str) -> String {
     let (method, key) = if class == "read" { ("GET", "") } else { ("POST", "Idempotency-Key: k-1\r\n") };
--- /dev/null
+++ b/dahliahead/tests/crossings.rs
@@ -0,0 +1,207 @@
+//! Two events that meet: each case brings them together on purpose, with a peer that holds back what the test says.
+//! `docs/CROSSINGS.md` lists what is promised for each.
+
+mod common;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+use socket2::{Domain, SockRef, Socket, Type};
+
+/// Long enough for a close that is on its way, short beside any time-out of these tests.
+const SOON: Duration = Duration::from_secs(3);
+
+/// A caller's request with these bytes behind it.
+fn order_with(extra: &[u8]) -> Vec<u8> {
+    let head = "POST /order?k=7f HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\n\
+                Content-Length: 3\r\n\r\none";
+    [head.as_bytes(), extra].concat()
+}
+
+/// An upstream to which connections do not come up until [`Late::open`]: the system takes no more than its queue
+/// holds, and tries again a second later.
+struct Late {
+    listener: Socket,
+    address: SocketAddr,
+    queue: Vec<TcpStream>,
+}
+
+impl Late {
+    fn start() -> Self {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        listener.bind(&any.into()).expect("a free port");
+        listener.listen(0).expect("listens");
+        let address = listener.local_addr().expect("bound").as_socket().expect("of IPv4");
+        // A queue of no length holds one.
+        let queue = vec![TcpStream::connect(address).expect("the queue takes it")];
+        Self { listener, address, queue }
+    }
+
+    /// Waits until the balancer has asked for a connection.
+    fn wait_connecting(&self) {
+        let port = format!(":{:04X} 02 ", self.address.port());
+        wait_for("a connect is under way", || {
+            let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system lists its sockets");
+            sockets.contains(&port).then_some(())
+        });
+    }
+
+    /// Lets connections come up, and gives those of the balancer as they come.
+    fn open(self) -> mpsc::Receiver<TcpStream> {
+        let own: Vec<SocketAddr> = self.queue.iter().map(|own| own.local_addr().expect("up")).collect();
+        let (report, came) = mpsc::channel();
+        let listener: TcpListener = self.listener.into();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if !own.contains(&stream.peer_addr().expect("up")) && report.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        drop(self.queue);
+        came
+    }
+}
+
+/// What comes on a connection up to its end.
+fn all_of(mut stream: TcpStream) -> Vec<u8> {
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    let mut bytes = Vec::new();
+    match stream.read_to_end(&mut bytes) {
+        Ok(_) => bytes,
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => bytes,
+        Err(error) => panic!("never closed: {error}"),
+    }
+}
+
+/// Whether anything was sent to an upstream that could be reached only now: nothing may come before the balancer
+/// closes, or must not even connect.
+fn nothing_came(came: &mpsc::Receiver<TcpStream>) -> bool {
+    match came.recv_timeout(SOON) {
+        Ok(stream) => all_of(stream).is_empty(),
+        Err(_) => true,
+    }
+}
+
+// --- A caller leaves ---
+
+/// Guards upstreams against work for nobody: a caller has gone with the end of its sending, also when it had sent more
+/// behind its request, which keeps a server that reads only what it needs from seeing the end.
+#[test]
+fn a_caller_that_sent_more_is_seen_to_leave() {
+    let upstream = Upstream::start(|_, _| Reply::Silence);
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 50.0);
+    let second = order_with(b"");
+    let much = vec![b'x'; 300_000];
+    let mut asked = 0;
+    for extra in [b"".as_slice(), b"\r\n", b"G", &second, &much] {
+        for how in [Shutdown::Write, Shutdown::Both] {
+            asked += 1;
+            let mut caller = balancer.caller();
+            caller.raw(&order_with(b""));
+            upstream.wait_requests(asked);
+            caller.raw(extra);
+            let left = Instant::now();
+            caller.0.shutdown(how).expect("up");
+            upstream.wait_closed(asked);
+            assert!(left.elapsed() < SOON, "{} bytes, {how:?}: {:?}", extra.len(), left.elapsed());
+            assert_eq!(upstream.requests().len(), asked);
+        }
+    }
+}
+
+/// Guards callers that do not leave: what they had sent behind their request is the next one, in order.
+#[test]
+fn requests_sent_together_are_answered_in_order() {
+    let upstream = Upstream::start(|number, _| ok(&format!("answer {number}")));
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut caller = balancer.caller();
+    caller.raw(&[order_with(b""), order_with(b""), order_with(b"")].concat());
+    for number in 0..3 {
+        assert_eq!(caller.answer().expect("an answer").body, format!("answer {number}").into_bytes());
+    }
+}
+
+/// Guards the answer to a caller that sends far more than a request behind it: it comes, and its connection ends
+/// in peace.
+#[test]
+fn an_answer_reaches_a_caller_that_goes_on_sending() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let upstream = Upstream::start(move |_, _| {
+        let _ = held.lock().expect("no panic").recv();
+        ok("served")
+    });
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+    let mut caller = balancer.caller();
+    caller.raw(&order_with(&[b'x'; 200_000]));
+    upstream.wait_requests(1);
+    release.send(()).expect("the upstream waits");
+    let answer = caller.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(caller.0.read(&mut [0]).expect("closed in peace"), 0);
+}
+
+/// Guards an error against the reset that closing over unread bytes would send after it.
+#[test]
+fn an_error_is_not_followed_by_a_reset() {
+    let (balancer, _discovery) = Balancer::with(&[], 30.0);
+    let heads = [
+        "POST /order HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\nX-Tenant: acme\r\nContent-Length: 70000\r\n\r\n",
+        "SPDY /order HTTP/9\r\n\r\n",
+    ];
+    for head in heads {
+        let mut caller = balancer.caller();
+        caller.raw(&[head.as_bytes(), &[b'x'; 60_000]].concat());
+        assert!(caller.answer().expect("an answer").status() >= 400, "{head}");
+        let mut rest = Vec::new();
+        assert_eq!(caller.0.read_to_end(&mut rest).expect("closed in peace"), 0, "{head}");
+    }
+}
+
+// --- Upstreams ---
+
+/// Guards drains against a connection that is long in coming: what was chosen before the word is not sent after it.
+#[test]
+fn a_drain_learned_during_a_connect_holds() {
+    for status in ["draining", "gone"] {
+        let late = Late::start();
+        let other = Upstream::start(|_, _| ok("other"));
+        let known = [endpoint("s-1", late.address, 0, "ready")];
+        let (balancer, discovery) = Balancer::with(&known, 50.0);
+        let mut caller = balancer.caller();
+        caller.send("order", "one");
+        late.wait_connecting();
+        let (_, watch) = discovery.watch();
+        let drained = endpoint("s-1", late.address, 0, status);
+        watch.says(8, false, &[drained, endpoint("s-2", other.address, 1, "ready")]);
+        wait_for("the drain is taken in", || {
+            (balancer.caller().ask("read", "").body == b"other").then_some(())
+        });
+        assert!(nothing_came(&late.open()), "{status}");
+        assert_eq!(caller.answer().expect("an answer").body, b"other", "{status}");
+    }
+}
+
+/// Guards callers against half an answer: one without a length that is reset has not ended.
+#[test]
+fn a_reset_is_no_end_of_an_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            if read_message(&mut stream).is_some() {
+                stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").expect("the balancer reads");
+                thread::sleep(Duration::from_millis(50));
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+            }
+        }
+    });
+    let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", address, 0, "ready")], 30.0);
+    assert_eq!(balancer.caller().ask("order", "one").status(), 502);
+}
