Begin no attempt that nobody waits for, nor a repeat past its window

Cause: an attempt checks the list again once its connection is up, but neither its caller nor the clock. Where the settings allow no withdrawal, it was sent for a caller that had left during the connect; a keyed repeat chosen within its window was sent after it, when the upstreams no longer drop it, if the connection was long in coming.

Change: before the first byte the host asks whether the request still wants an answer, and the decisions say with each send within what time it must begin: the rest of the window of a repeat, else any time. `may_repeat` gives that rest instead of a yes.

Seen to fail without: `nothing_begins_for_a_caller_that_left_during_a_connect`, `a_repeat_does_not_begin_after_its_window`; both hold a connect back by a full queue of the listener.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -358,6 +358,12 @@
             .is_some_and(|listed| listed.ready && listed.address == address)
     }
 
+    /// Whether a request still wants an answer: its caller may have gone, or another attempt have served it.
+    #[must_use]
+    pub fn is_wanted(&self, request: RequestId) -> bool {
+        self.core.borrow().requests.get(&request).is_some_and(|held| held.answer.is_some())
+    }
+
     /// Counts a connection to an upstream.
     pub fn count_opened(&self) {
         self.core.borrow_mut().counters.opened += 1;
@@ -580,7 +586,9 @@
 
     fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
         match action {
-            Action::Send { request, upstream, timeout } => self.send(core, request, upstream, timeout),
+            Action::Send { request, upstream, timeout, begin_within } => {
+                self.send(core, request, upstream, timeout, begin_within);
+            }
             Action::Withdraw { request, attempt } => {
                 let held = core.requests.get_mut(&request);
                 if let Some(withdraw) =
@@ -628,6 +636,7 @@
         request: RequestId,
         upstream: UpstreamId,
         timeout: Option<Duration>,
+        begin_within: Option<Duration>,
     ) {
         let Some(held) = core.requests.get_mut(&request) else { return };
         let attempt = AttemptNumber(held.attempts.len() as u32);
@@ -651,7 +660,8 @@
         held.attempts.push(Some(withdraw));
         held.out += 1;
         let (address, call) = (listed.address, Rc::clone(&held.call));
-        let job = Job { request, attempt, upstream, address, call, asked, until };
+        let begin_by = begin_within.map(|span| asked + span);
+        let job = Job { request, attempt, upstream, address, call, asked, begin_by, until };
         spawn_local(upstream::attempt(Rc::clone(self), job, withdrawn));
     }
 }
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -229,6 +229,8 @@
     pub call: Rc<Call>,
     /// When it was asked for.
     pub asked: Instant,
+    /// When it must have begun, where that is bound.
+    pub begin_by: Option<Instant>,
     /// When it is given up.
     pub until: Instant,
 }
@@ -317,6 +319,10 @@
         if !driver.may_send(job.upstream, job.address) {
             return (Outcome::ConnectFailed.into(), None);
         }
+        // Its caller may have gone meanwhile, or the time be over in which upstreams drop a repeat.
+        if !driver.is_wanted(job.request) || job.begin_by.is_some_and(|by| Instant::now() > by) {
+            return (Outcome::NotSent.into(), None);
+        }
         let request = job.call.request(job.until.saturating_duration_since(Instant::now()));
         progress.size.set(size_on_wire(&request, job.call.body.len()));
         connection.written.set(0);
--- a/dahliahead/tests/crossings.rs
+++ b/dahliahead/tests/crossings.rs
@@ -115,6 +115,26 @@
     }
 }
 
+/// Guards the same while the first attempt waits for its connection: it does not begin once the caller has gone,
+/// whether or not attempts may be called off there.
+#[test]
+fn nothing_begins_for_a_caller_that_left_during_a_connect() {
+    for cancel in ["\"cancel\":true", "\"cancel\":false"] {
+        let late = Late::start();
+        let discovery = Discovery::start();
+        let known = [endpoint("s-1", late.address, 0, "ready")];
+        let text = configuration(discovery.address, &known, 50.0, 1024).replace("\"cancel\":true", cancel);
+        let balancer = Balancer::start(&text);
+        let mut caller = balancer.caller();
+        caller.raw(&order_with(b"more"));
+        late.wait_connecting();
+        caller.0.shutdown(Shutdown::Both).expect("up");
+        // From then on nothing may begin.
+        thread::sleep(Duration::from_millis(100));
+        assert!(nothing_came(&late.open()), "{cancel}");
+    }
+}
+
 /// Guards callers that do not leave: what they had sent behind their request is the next one, in order.
 #[test]
 fn requests_sent_together_are_answered_in_order() {
@@ -166,6 +186,37 @@
 
 // --- Upstreams ---
 
+/// Guards what must not run twice in effect: a repeat goes out within the window in which repeats are dropped, also
+/// when the connection that it waits for takes longer.
+#[test]
+fn a_repeat_does_not_begin_after_its_window() {
+    let failing = Upstream::start(|_, _| Reply::Last(Vec::new()));
+    let late = Late::start();
+    let known = [endpoint("s-1", failing.address, 4, "ready"), endpoint("s-2", late.address, 4, "ready")];
+    let discovery = Discovery::start();
+    let text =
+        configuration(discovery.address, &known, 50.0, 1024).replace("\"windowS\":10.0", "\"windowS\":0.3");
+    // Which upstream is first is drawn: it must be the failing one, so that the other gets the repeat.
+    let balancer = Balancer::start(&text);
+    let mut callers: Vec<Caller> = (0..4).map(|_| balancer.caller()).collect();
+    for caller in &mut callers {
+        caller.send("pay", "instalments");
+    }
+    failing.wait_requests(1);
+    let first = Instant::now();
+    thread::sleep(Duration::from_millis(400));
+    let came = late.open();
+    // Those that went to the late one at first may go there.
+    let direct = callers.len() - failing.requests().len();
+    let mut got = 0;
+    while let Ok(stream) = came.recv_timeout(SOON) {
+        stream.set_read_timeout(Some(Duration::from_millis(200))).expect("set");
+        let mut byte = [0];
+        got += usize::from(matches!((&stream).read(&mut byte), Ok(1)));
+    }
+    assert!(got <= direct, "{got} of {direct} after {:?}", first.elapsed());
+}
+
 /// Guards drains against a connection that is long in coming: what was chosen before the word is not sent after it.
 #[test]
 fn a_drain_learned_during_a_connect_holds() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -963,10 +963,12 @@
             || !upstream.usable()
             || entry.attempts.len() >= self.settings.allowed.attempts as usize
             || (entry.out > 0 && !self.settings.allowed.second_copies)
-            || !may_repeat(now, class.effect, entry.first_run(), &upstream.member)
         {
             return false;
         }
+        let Some(left) = may_repeat(now, class.effect, entry.first_run(), &upstream.member) else {
+            return false;
+        };
         let until = self.useful_until(entry);
         let timeout = until - now;
         // A time-out at the deadline, off by a rounding, must not send the request once more.
@@ -1002,8 +1004,8 @@
             withdrawn: false,
         });
         entry.out += 1;
-        let timeout = Some(Duration::from_secs_f64(timeout));
-        actions.push(Action::Send { request: id, upstream: member.id, timeout });
+        let [timeout, begin_within] = [timeout, left].map(|span| Duration::try_from_secs_f64(span).ok());
+        actions.push(Action::Send { request: id, upstream: member.id, timeout, begin_within });
         true
     }
 
@@ -1270,19 +1272,17 @@
     }
 }
 
-/// Whether the rules on effects let a request out again to `member`.
-fn may_repeat(now: f64, effect: Effect, first_run: Option<&Attempt>, member: &Member) -> bool {
-    let Some(first) = first_run else { return true };
-    match effect {
-        Effect::Safe => true,
-        Effect::Unsafe => false,
-        Effect::Keyed { scope, window } => {
-            now - first.sent <= window.as_secs_f64()
-                && match scope {
-                    DedupScope::All => true,
-                    DedupScope::Zone => first.zone.is_some() && member.zone == first.zone,
-                    DedupScope::Cell => member.cell == first.cell,
-                }
-        }
-    }
+/// For how many seconds more the rules on effects let a request out again to `member`, if they do.
+fn may_repeat(now: f64, effect: Effect, first_run: Option<&Attempt>, member: &Member) -> Option<f64> {
+    let Some(first) = first_run else { return Some(f64::MAX) };
+    let Effect::Keyed { scope, window } = effect else {
+        return (effect == Effect::Safe).then_some(f64::MAX);
+    };
+    let same = match scope {
+        DedupScope::All => true,
+        DedupScope::Zone => first.zone.is_some() && member.zone == first.zone,
+        DedupScope::Cell => member.cell == first.cell,
+    };
+    let left = first.sent + window.as_secs_f64() - now;
+    (same && left >= 0.0).then_some(left)
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -470,6 +470,8 @@
         upstream: UpstreamId,
         /// Give the attempt up after this long; `None` for as long as the client waits.
         timeout: Option<Duration>,
+        /// Its first byte must be out within this; `None` for any time. Past it the attempt could repeat an effect.
+        begin_within: Option<Duration>,
     },
     /// Stop waiting on an attempt; its end is still reported.
     Withdraw {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -145,7 +145,7 @@
 
     fn check(&mut self, action: Action) {
         match action {
-            Action::Send { request, upstream, timeout } => {
+            Action::Send { request, upstream, timeout, begin_within } => {
                 let held = self.held.get_mut(&request).expect("a request that it has");
                 assert!(held.finals == 0 && !held.over, "sent after its end");
                 assert!(self.now < held.deadline, "sent after the deadline");
@@ -161,6 +161,8 @@
                         Effect::Unsafe => panic!("an unsafe request sent twice"),
                         Effect::Keyed { scope, window } => {
                             assert!(self.now <= first.at + window, "past the window");
+                            let by = self.now + begin_within.expect("the window bounds its begin");
+                            assert!(by <= first.at + window + Duration::from_micros(1), "may begin past it");
                             let (one, two) = (member(first.upstream.0), member(upstream.0));
                             match scope {
                                 DedupScope::All => {}
