Let a connection rest 20 ms before its next request, and look once more before it is used

Cause: an upstream at fault sends a second answer some milliseconds behind the first. The next request on that connection, written meanwhile, was served with it: an answer that no upstream made for that request. What the runtime had not yet heard of passed the check too, as that asks only what the HTTP code has read.

Change: a kept connection carries nothing for 20 ms after an answer; then the newest that has rested is taken, and the system is asked for bytes on it (a peek) right before. Not taken: resting every connection for as long as an answer may take, which would open one for nearly each request.

Seen to fail without: `a_second_answer_is_nobodys` (answers 1 and 6 ms late). The older test of a kept connection asked again within the same millisecond, which is what must not be; it now waits 40 ms and demands the same.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -34,6 +34,9 @@
 /// Part of the settings' idle limit after which a kept connection is closed: one that the upstream closes as a
 /// request is written ends that request as a reset.
 const KEEP_PART: f64 = 0.7;
+/// How long a connection rests after an answer before it carries the next request: an upstream at fault may send a
+/// second answer some milliseconds behind the first, and the next request's caller would get it.
+const REST: Duration = Duration::from_millis(20);
 /// Descriptors that are no connection: standard streams, listener, runtime.
 const OTHER_DESCRIPTORS: usize = 16;
 /// Descriptors that upstream connections leave to callers.
@@ -320,7 +323,8 @@
         let most = if once { self.trust.borrow().trusted() } else { self.keep };
         let mut core = self.core.borrow_mut();
         let kept = core.kept.get_mut(&upstream)?;
-        while let Some(last) = kept.pop() {
+        while let Some(place) = kept.iter().rposition(|kept| kept.since.elapsed() >= REST) {
+            let last = kept.remove(place);
             let idle = last.since.elapsed();
             if last.connection.is_free() && idle < self.keep {
                 return (idle <= most).then_some((last.connection, idle));
--- a/dahliahead/src/socket.rs
+++ b/dahliahead/src/socket.rs
@@ -3,12 +3,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -49,6 +51,13 @@
         self.0.spilled.get()
     }
 
+    /// Whether the peer has sent nothing, not even its end, that is still to be read. Asks the system, and not what
+    /// the runtime last heard of it.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        SockRef::from(&*self.0.stream.borrow()).peek(&mut [MaybeUninit::uninit()]).is_err()
+    }
+
     /// Ready once the peer has ended its sending or the connection has broken. Reads what comes before that, for the
     /// HTTP code to find; to be asked from the task that reads for it too, as only one is woken.
     pub fn poll_gone(&self, context: &mut Context<'_>) -> Poll<()> {
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -64,6 +64,7 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Bytes that the socket has taken.
     written: Rc<Cell<u64>>,
+    socket: Socket,
     task: AbortHandle,
 }
 
@@ -74,10 +75,11 @@
 }
 
 impl Connection {
-    /// Whether a request may go out on it: the last answer is through and the peer has not closed.
+    /// Whether a request may go out on it: the last answer is through, and the peer has neither closed nor sent
+    /// anything since, which would pass for the next answer.
     #[must_use]
     pub fn is_free(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && self.socket.is_silent()
     }
 }
 
@@ -94,14 +96,15 @@
 
 /// Makes a connection of a socket that has come up.
 async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, ConnectError> {
+    let socket = Socket::new(stream);
     let written = Rc::new(Cell::new(0));
-    let io = Counted { socket: Socket::new(stream), written: Rc::clone(&written), _permit: permit };
+    let io = Counted { socket: socket.clone(), written: Rc::clone(&written), _permit: permit };
     let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
     let task = tokio::task::spawn_local(async move {
         // How it ends shows in the request that is out on it, if one is.
         let _ = connection.await;
     });
-    Ok(Connection { sender, written, task: task.abort_handle() })
+    Ok(Connection { sender, written, socket, task: task.abort_handle() })
 }
 
 /// A socket that counts the bytes it has taken: what was never written whole never ran.
--- a/dahliahead/tests/attempts.rs
+++ b/dahliahead/tests/attempts.rs
@@ -7,7 +7,8 @@
 
 use common::*;
 
-/// Guards what passes through: path, body and ids unchanged, and the same connection for the next request.
+/// Guards what passes through: path, body and ids unchanged, and the same connection for the next request, once it has
+/// rested: until then a second answer could still come on it.
 #[test]
 fn an_answer_passes_through_and_the_connection_is_kept() {
     let upstream = Upstream::start(|number, _| ok(&format!("quote {number}")));
@@ -16,6 +17,8 @@
     for number in 0..3 {
         let answer = caller.ask("pay", "instalments");
         assert_eq!((answer.status(), answer.body), (200, format!("quote {number}").into_bytes()));
+        let (answered, rested) = (Instant::now(), Duration::from_millis(40));
+        wait_for("the connection has rested", || (answered.elapsed() > rested).then_some(()));
     }
     let requests = upstream.requests();
     assert_eq!(requests.len(), 3);
--- a/dahliahead/tests/crossings.rs
+++ b/dahliahead/tests/crossings.rs
@@ -239,6 +239,43 @@
     }
 }
 
+/// Guards callers against another's answer: what an upstream sends beyond its answer is nobody's, also when it comes
+/// some milliseconds later, and the connection it came on carries nothing more.
+#[test]
+fn a_second_answer_is_nobodys() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright";
+    let wrong = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+    for late in [None, Some(Duration::from_millis(1)), Some(Duration::from_millis(6))] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                thread::spawn(move || {
+                    if read_message(&mut stream).is_none() {
+                        return;
+                    }
+                    match late {
+                        None => stream.write_all(format!("{answer}{wrong}").as_bytes()),
+                        Some(late) => stream.write_all(answer.as_bytes()).and_then(|()| {
+                            thread::sleep(late);
+                            stream.write_all(wrong.as_bytes())
+                        }),
+                    }
+                    .expect("the balancer reads");
+                    // Whatever comes now is not answered any more.
+                    let _ = read_message(&mut stream);
+                });
+            }
+        });
+        let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", address, 0, "ready")], 30.0);
+        let mut caller = balancer.caller();
+        for _ in 0..20 {
+            let answer = caller.ask("order", "one");
+            assert_eq!((answer.status(), answer.body.as_slice()), (200, b"right".as_slice()), "{late:?}");
+        }
+    }
+}
+
 /// Guards callers against half an answer: one without a length that is reset has not ended.
 #[test]
 fn a_reset_is_no_end_of_an_answer() {
