Look at the clock before each accept, and keep descriptors back for the list and attempts

Cause, seen with six threads that connect and reset without end: the accept loop asked for the next connection first, and with always another one waiting the end of the phase was never looked at (tokio's budget for a turn was used up by then); the drain's second step, due after 0.5 s, came after 14, 28 and 40 s. And callers that only stand by took the last descriptor (EMFILE), so that the watch on discovery and attempts found one only by luck.

Change: the end of a phase is asked first. A connection is taken in only while the budget has room; else idle ones are closed, four each 5 ms, until it has. One that gives way and has brought nothing gets 50 ms from its coming instead of 0.3 s from then: with 0.3 s a caller waited 17 s behind a crowd of 400 for its turn.

Seen to fail without: `a_flood_of_connections_does_not_hold_up_the_drain`, `idle_callers_do_not_keep_the_list_away`.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -288,7 +288,7 @@
         self.sockets.get() >= self.sockets_most - self.sockets_most / (2 * CALLERS_PART)
     }
 
-    /// Whether the last socket of the budget is taken.
+    /// Whether the budget is used up: what is left then is discovery's and the program's own.
     #[must_use]
     pub fn full(&self) -> bool {
         self.sockets.get() > self.sockets_most
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -54,6 +54,9 @@
 /// How long a connection that has had no request waits for one once it should close: a caller writes it right after
 /// its connection is up, but may be late itself. Together with [`DRAIN_LATE`] it ends before [`DRAIN_LAST`].
 const UNUSED_GRACE: Duration = Duration::from_millis(300);
+/// The same for one that gives way while descriptors are short, from its coming: many that bring nothing must not keep
+/// out those that do, whose request is there as soon as they are up.
+const EVICTED_GRACE: Duration = Duration::from_millis(50);
 /// How long no connection must have been open before the program ends: a caller whose request crossed the close of
 /// its connection comes with a new one.
 const DRAIN_QUIET: Duration = Duration::from_millis(50);
@@ -73,8 +76,10 @@
 const UNREAD: Duration = Duration::from_secs(2);
 /// Bytes of a request's head at most: more is no proper request, and many such must not fill the memory.
 const HEAD_MOST: usize = 32 * 1024;
-/// Wait after a failed accept, so that running out of descriptors does not spin.
+/// Wait after a failed accept, and between looks for room, so that running out of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// Idle connections closed at each such look: with [`ACCEPT_PAUSE`] a thousand in a second or so.
+const EVICTED_TOGETHER: usize = 4;
 
 /// Where the program stands between SIGTERM and its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +93,8 @@
 struct Link {
     /// A request has come on it whose answer is not yet out.
     busy: Cell<bool>,
+    /// It gives way to others.
+    evicted: Cell<bool>,
     /// Its request waits for an answer, and for nothing from the caller.
     waiting: Cell<bool>,
     /// It has ever carried a request; asking for the health is none.
@@ -118,6 +125,7 @@
         }
         let link = Rc::new(Link {
             busy: Cell::new(false),
+            evicted: Cell::new(false),
             waiting: Cell::new(false),
             used: Cell::new(false),
             opened: Instant::now(),
@@ -137,14 +145,27 @@
         });
     }
 
+    /// The next connection, once there is a descriptor for it that neither discovery nor an attempt may need. Nothing
+    /// is lost if it is not waited for.
+    async fn next(&self, listener: &TcpListener) -> io::Result<TcpStream> {
+        while self.driver.full() {
+            // A few at a time: each may take its moment to close.
+            for _ in 0..EVICTED_TOGETHER {
+                self.make_room();
+            }
+            sleep(ACCEPT_PAUSE).await;
+        }
+        Ok(listener.accept().await?.0)
+    }
+
     /// Closes the connection that has stood idle for longest: a caller's, which costs it a new one at most,
     /// or else one to an upstream.
     fn make_room(&self) {
         let links = self.links.borrow();
-        if let Some(link) = links.values().filter(|link| !link.busy.get()).min_by_key(|link| link.since.get())
-        {
+        let idle = links.values().filter(|link| !link.busy.get() && !link.evicted.get());
+        if let Some(link) = idle.min_by_key(|link| link.since.get()) {
             // Marked, so that the next in need finds another.
-            link.busy.set(true);
+            link.evicted.set(true);
             link.close.notify_one();
         } else {
             self.driver.drop_idle_most();
@@ -239,8 +260,10 @@
     loop {
         tokio::select! {
             biased;
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => callers.accept(stream),
+            // First: in a flood there is always another connection, and this would never be looked at.
+            () = until.as_mut() => return,
+            accepted = callers.next(listener) => match accepted {
+                Ok(stream) => callers.accept(stream),
                 Err(error) => {
                     // Out of descriptors, most likely: the loop goes on with one given up.
                     // At most a line a second, or the log would cost more than the trouble.
@@ -252,7 +275,6 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            () = until.as_mut() => return,
         }
     }
 }
@@ -320,11 +342,13 @@
     // The server would end one that never had a request at once, though the first may be on its way or in the
     // socket: that one gets a moment, and is then closed like the others.
     if !link.used.get() {
+        let until =
+            if link.evicted.get() { link.opened + EVICTED_GRACE } else { Instant::now() + UNUSED_GRACE };
         tokio::select! {
             biased;
             _ = served.as_mut() => return End::Closing,
             () = gone() => return End::Gone,
-            () = sleep(UNUSED_GRACE) => {}
+            () = sleep_until(until) => {}
         }
         if !link.used.get() {
             return End::Closing;
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -205,7 +205,11 @@
 
     /// One whose watches say so every `beat` that nothing has changed.
     pub fn beating(beat: Duration) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        Self::on(TcpListener::bind("127.0.0.1:0").expect("a free port"), beat)
+    }
+
+    /// The same on a listener of the test's.
+    pub fn on(listener: TcpListener, beat: Duration) -> Self {
         let address = listener.local_addr().expect("bound");
         let (report, watches) = mpsc::channel();
         thread::spawn(move || {
