Write the log on a thread of its own, so that a pipe nobody reads stops nothing

Cause: each line was written to standard error by the one thread that serves. A pipe holds 64 KiB; with a reader that holds it open and does not read, the next line waits for ever, and every request with it.

Change: lines go through a bounded queue (256) to a thread that writes them; what finds it full is lost and counted in the next line. At its end the program waits 0.1 s at most for the rest.

Seen to fail without: `a_log_that_nobody_reads_stops_nothing` (a caller waited 30 s in vain).

--- a/dahliahead/src/main.rs
+++ b/dahliahead/src/main.rs
@@ -1,9 +1,10 @@
 //! The real balancer: starts from its configuration, serves until SIGTERM, then lets go in peace.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use dahliahead::config::Config;
-use dahliahead::server;
+use dahliahead::{log, server};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
@@ -29,6 +30,8 @@
             server::serve(config, stop).await
         })
     });
+    // A log that nobody reads must not hold up the end.
+    log::flush(Duration::from_millis(100));
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/dahliahead/tests/crossings.rs
+++ b/dahliahead/tests/crossings.rs
@@ -409,6 +409,32 @@
     }
 }
 
+/// Guards the program against a log that somebody holds and nobody reads: it goes on serving.
+#[test]
+fn a_log_that_nobody_reads_stops_nothing() {
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let mut child = program(&configuration(discovery.address, &known, 30.0, 1024));
+    let (address, log) = address(&mut child);
+    let (_, watch) = discovery.watch();
+    // Each entry is told of in a line; a pipe holds 64 KiB.
+    let odd: Vec<_> = (0..4000).map(|number| endpoint(&format!("odd-{number}"), address, 0, "odd")).collect();
+    watch.says(8, false, &odd);
+    watch.says(9, false, &[endpoint("s-1", upstream.address, 0, "draining")]);
+    let moved = Upstream::start(|_, _| ok("moved"));
+    watch.says(10, false, &[endpoint("s-2", moved.address, 0, "ready")]);
+    wait_for("the lists are taken in", || {
+        let mut caller = Caller::connect(address);
+        caller.0.set_read_timeout(Some(SOON)).expect("set");
+        caller.send("read", "");
+        (caller.answer().expect("an answer").body == b"moved").then_some(())
+    });
+    signal(&child, "-TERM");
+    assert!(child.wait().expect("ends").success());
+    drop(log);
+}
+
 /// Guards the end against a caller that never takes its answers: they fill the system's buffers, and its connection is
 /// let go.
 #[test]
