Bound the way to the list by the 6 s after which a change counts as told

Cause: outside `automatic` a watch could take 1 s to connect, 5 s for the head of its answer and 5 s more for a first word, and failures spaced the calls out to 0.4 of what the settings let pass between two questions. With 60 s there, a drain was taken in 7.6 s after discovery answered again (three calls had hung). And any byte counted as a sign of life: a watch that drips a line without end was never given up.

Change: one time bounds connect, head and first whole line together (2 s, 1 s at an agent); only whole lines are signs of life; the host hands the decisions 6 s at most as the time within which to ask. The sum by way of having lists stands beside `TOLD_AFTER`.

Seen to fail without: `calls_that_hang_do_not_keep_the_list_away` (7.6 s), `a_line_that_never_ends_is_silence` (never). Held before and now: `a_watch_given_up_is_not_heard`, `the_last_of_two_reloads_counts`.

--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::driver::Driver;
 use crate::upstream::{self, Dial};
@@ -74,24 +74,35 @@
     1.0
 }
 
-/// How long a new watch may take to speak.
+/// A change counts as told this long after discovery had it and could be reached, whatever call failed before. At its
+/// worst the way there is, in seconds, from when it can be reached again:
+///
+/// | | asked for | pushed to an agent |
+/// | --- | --- | --- |
+/// | a call that still hangs ([`Patience`]: connect, head and first whole line together) | 2 | 1 |
+/// | back-off after it (0.4 of this time, by the decisions) | 2.4 | 0 |
+/// | until the next sweep of the decisions | 0.2 | 0.2 |
+/// | left for the answer | 1.4 | 4.8 |
+///
+/// And from the last line of a watch that fell silent: its silence 3.2, back-off 0.5 or 0, sweep 0.2; left are 2.1
+/// and 2.6. A reload starts at the back-off of a first failure, 0.5 or 0, and has 4 s.
+pub const TOLD_AFTER: Duration = Duration::from_secs(6);
+
+/// How long a new watch may take from its asking to its first whole line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience(Duration);
 
 impl Patience {
     /// By how lists are had. Discovery works through calls in turn. An agent answers at once; one that does not
     /// is cut off from discovery, and whether it will speak on a watch that it left waiting is not told, so that
-    /// new ones are tried meanwhile: several within the 6 s after which a silent watch's news count as told.
+    /// new ones are tried meanwhile.
     #[must_use]
     pub fn of(mode: DiscoveryMode) -> Self {
-        Self(Duration::from_secs(if mode == DiscoveryMode::Agent { 1 } else { 5 }))
+        Self(Duration::from_secs(if mode == DiscoveryMode::Agent { 1 } else { 2 }))
     }
 }
 
-/// How long the connection may take to come up: discovery's address is on this machine.
-const CONNECT: Duration = Duration::from_secs(1);
-/// A watch says something every 2 s; silent for well over that, it is dead. What it would have told counts as
-/// told 6 s late at most, and by then a new watch must have been asked for and answered, which takes seconds.
+/// A watch says a line every 2 s, if an empty one; silent for well over that, it is dead.
 const SILENCE: Duration = Duration::from_millis(3200);
 /// Bytes of one line at most, so that a broken discovery cannot fill the memory.
 const LINE_MOST: usize = 8 << 20;
@@ -126,7 +137,8 @@
     Patience(first_word): Patience,
     since: u64,
 ) -> Result<std::convert::Infallible, WatchError> {
-    let dial = Dial { address, patience: CONNECT };
+    let mut by = Instant::now() + first_word;
+    let dial = Dial { address, patience: first_word };
     let mut conn =
         upstream::connect(driver.reserved_permit(), dial).await.map_err(|_| WatchError::Connect)?;
     let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
@@ -134,18 +146,16 @@
         .body(Full::<Bytes>::default())
         .unwrap_or_default();
     let response =
-        timeout(first_word, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        timeout_at(by, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
     let mut body = response.into_body();
     let mut text: Vec<u8> = Vec::new();
-    let mut patience = first_word;
     let mut heard = false;
     loop {
-        let frame = timeout(patience, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        let frame = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)?;
         let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
-        patience = SILENCE;
         // A chunk may hold several lines, or a part of one.
         let mut rest = &data[..];
         while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
@@ -159,6 +169,8 @@
                 driver.learn(Update { index: since, snapshot: false, endpoints: Vec::new() });
             }
             heard = true;
+            // Only a whole line is a sign of life.
+            by = Instant::now() + SILENCE;
             text.clear();
         }
         text.extend_from_slice(rest);
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -21,7 +21,7 @@
 
 use crate::config::Config;
 use crate::counters::{self, Counters};
-use crate::discovery::{self, Endpoint, Patience, Update};
+use crate::discovery::{self, Endpoint, Patience, TOLD_AFTER, Update};
 use crate::trust::Trust;
 use crate::upstream::{self, Call, ConnectError, Connection, Ended, Job};
 
@@ -167,6 +167,9 @@
         if loaded.settings.discovery == DiscoveryMode::Push {
             loaded.settings.discovery = DiscoveryMode::Agent;
         }
+        // Where lists are asked for, the settings may allow to ask more seldom than changes count as told.
+        let ask_within = &mut loaded.settings.rules.ask_within;
+        *ask_within = Some(ask_within.unwrap_or(TOLD_AFTER).min(TOLD_AFTER));
         let patience = Patience::of(loaded.settings.discovery);
         let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
         let classes = loaded.settings.classes.clone();
--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -257,6 +257,11 @@
         self.0.send(Some(bytes.to_vec())).expect("the watch stands");
     }
 
+    /// The same on a watch that the balancer may have given up; tells whether it still takes bytes.
+    pub fn try_bytes(&self, bytes: &[u8]) -> bool {
+        self.0.send(Some(bytes.to_vec())).is_ok()
+    }
+
     pub fn says(&self, index: u64, whole: bool, endpoints: &[Value]) {
         let line = json!({"index": index, "snapshot": whole, "endpoints": endpoints});
         self.bytes(format!("{line}\n").as_bytes());
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -2,6 +2,9 @@
 
 mod common;
 
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::*;
@@ -176,3 +179,147 @@
     );
     wait_for("the drain is taken in", || (balancer.caller().ask("order", "").body == b"new").then_some(()));
 }
+
+/// A change counts as told this long after discovery had it and could be reached, whatever went before.
+const TOLD: Duration = Duration::from_secs(6);
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A balancer whose settings say how lists are had, and allow it to ask seldom.
+fn in_mode(mode: &str, discovery: SocketAddr, known: &[serde_json::Value]) -> Balancer {
+    let text = configuration(discovery, known, 30.0, 1024).replace("subscribe", mode);
+    Balancer::start(&text.replace("\"askWithinS\":10.0", "\"askWithinS\":60.0"))
+}
+
+/// Plays a case in each way of having lists, side by side.
+fn in_each_mode(case: impl Fn(&'static str) + Send + Sync) {
+    thread::scope(|scope| {
+        for mode in ["subscribe", "automatic"] {
+            let case = &case;
+            scope.spawn(move || case(mode));
+        }
+    });
+}
+
+/// Guards the time to the list against a discovery that takes calls and leaves them waiting, wherever in its answer: a
+/// few failed calls in a row must not space the next one out past the time at which a change counts as told.
+#[test]
+fn calls_that_hang_do_not_keep_the_list_away() {
+    in_each_mode(|mode| {
+        thread::scope(|scope| {
+            for part in [String::new(), HEAD.to_owned(), format!("{HEAD}9\r\n{{\"index\"\r\n")] {
+                scope.spawn(move || {
+                    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+                    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                    let place = listener.local_addr().expect("bound");
+                    let known = [endpoint("s-1", old.address, 0, "ready")];
+                    let balancer = in_mode(mode, place, &known);
+                    let mut held = Vec::new();
+                    for _ in 0..4 {
+                        let (mut stream, _) = listener.accept().expect("asked");
+                        read_message(&mut stream).expect("a call");
+                        stream.write_all(part.as_bytes()).expect("open");
+                        held.push(stream);
+                    }
+                    // From here on it answers whoever asks.
+                    let back = Instant::now();
+                    let discovery = Discovery::on(listener, Duration::from_millis(500));
+                    let (_, watch) = discovery.watch();
+                    let drained = endpoint("s-1", old.address, 0, "draining");
+                    watch.says(8, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
+                    let mut caller = balancer.caller();
+                    wait_for("the list is taken in", || {
+                        (caller.ask("read", "").body == b"new").then_some(())
+                    });
+                    assert!(back.elapsed() < TOLD, "{mode}, {part:?}: {:?}", back.elapsed());
+                });
+            }
+        });
+    });
+}
+
+/// Guards against a watch that goes on writing and tells nothing: bytes that never become a line are no sign of life.
+#[test]
+fn a_line_that_never_ends_is_silence() {
+    in_each_mode(|mode| {
+        let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+        let discovery = Discovery::beating(LONG);
+        let balancer = in_mode(mode, discovery.address, &[endpoint("s-1", old.address, 0, "ready")]);
+        let (_, watch) = discovery.watch();
+        watch.says(8, false, &[]);
+        let began = Instant::now();
+        let dripping = thread::spawn(move || {
+            // The watch is given up under it.
+            while began.elapsed() < LONG && watch.try_bytes(b" ") {
+                thread::sleep(Duration::from_millis(100));
+            }
+        });
+        let (_, watch) = discovery.watch();
+        let drained = endpoint("s-1", old.address, 0, "draining");
+        watch.says(9, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
+        let mut caller = balancer.caller();
+        wait_for("the drain is taken in", || (caller.ask("read", "").body == b"new").then_some(()));
+        assert!(began.elapsed() < TOLD, "{mode}: {:?}", began.elapsed());
+        dripping.join().expect("no panic");
+    });
+}
+
+/// Guards the list in hand against a watch that was given up: what still comes on it is not heard.
+#[test]
+fn a_watch_given_up_is_not_heard() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let discovery = Discovery::beating(LONG);
+    let balancer = pushed(&discovery, &[endpoint("s-1", old.address, 0, "ready")]);
+    let (_, before) = discovery.watch();
+    before.says(8, false, &[]);
+    // It falls silent, and the next one speaks.
+    let (_, after) = discovery.watch();
+    let drained = endpoint("s-1", old.address, 0, "draining");
+    after.says(9, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
+    let mut caller = balancer.caller();
+    wait_for("the drain is taken in", || (caller.ask("read", "").body == b"new").then_some(()));
+    let told = old.requests().len();
+    before.try_bytes(
+        format!(
+            "{}\n",
+            serde_json::json!({"index": 10, "snapshot": false, "endpoints": [endpoint("s-1", old.address, 0, "ready")]})
+        )
+        .as_bytes(),
+    );
+    for _ in 0..50 {
+        assert_eq!(caller.ask("read", "").body, b"new");
+    }
+    assert_eq!(old.requests().len(), told);
+}
+
+/// Guards reloads in a row, the first of them onto a discovery that takes calls and never answers: the last one's list
+/// is told in time.
+#[test]
+fn the_last_of_two_reloads_counts() {
+    in_each_mode(|mode| {
+        let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+        let known = [endpoint("s-1", old.address, 0, "ready")];
+        let mute = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let (first, second) = (mute(), mute());
+        let place = |listener: &TcpListener| listener.local_addr().expect("bound");
+        let last = Discovery::start();
+        let text = |place| configuration(place, &known, 30.0, 1024).replace("subscribe", mode);
+        let mut child = program(&text(place(&first)));
+        let (address, _log) = address(&mut child);
+        // A call hangs there.
+        let _held = first.accept().expect("asked");
+        write_configuration(&text(place(&second)));
+        signal(&child, "-HUP");
+        let _hangs_too = second.accept().expect("asked");
+        write_configuration(&text(last.address));
+        let told = Instant::now();
+        signal(&child, "-HUP");
+        let (_, watch) = last.watch();
+        let drained = endpoint("s-1", old.address, 0, "draining");
+        watch.says(8, false, &[drained, endpoint("s-2", new.address, 1, "ready")]);
+        let mut caller = Caller::connect(address);
+        wait_for("the list is taken in", || (caller.ask("read", "").body == b"new").then_some(()));
+        assert!(told.elapsed() < Duration::from_secs(4), "{mode}: {:?}", told.elapsed());
+        child.kill().expect("it runs");
+        child.wait().expect("ends");
+    });
+}
