Let no list from before a drain end it

Cause: whatever a watch said was taken for the latest.

Change: an older change is passed over and told in the log. An older whole list is taken, since a discovery that lost its count must not leave the fleet on a dead list, but upstreams that drain go on draining until a newer start. Not taken: refusing older whole lists, which would freeze the list for good after such a loss.

Seen to fail without: `an_older_list_ends_no_drain`.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -471,12 +471,23 @@
 
     // --- Discovery ---
 
-    /// Takes in a word of the watch.
-    pub fn learn(self: &Rc<Self>, update: Update) {
+    /// Takes in a word of the watch. One older than the list in hand, as from a discovery that lags behind the one
+    /// asked before, must not end a drain: changes from then are passed over; a whole list is what there is now, but
+    /// for upstreams that drain, which only a new start brings back.
+    pub fn learn(self: &Rc<Self>, mut update: Update) {
         {
             let mut core = self.core.borrow_mut();
-            core.index = update.index;
             core.told = true;
+            if update.index < core.index {
+                crate::log(format_args!("an older list: {} after {}", update.index, core.index));
+                if !update.snapshot {
+                    return;
+                }
+                for endpoint in update.endpoints.iter_mut().filter(|endpoint| core.drains(endpoint)) {
+                    "draining".clone_into(&mut endpoint.status);
+                }
+            }
+            core.index = update.index;
         }
         let kind = if update.snapshot { ListUpdate::Whole } else { ListUpdate::Patch };
         self.take_list(update, kind);
@@ -689,6 +700,12 @@
         self.release(id);
     }
 
+    /// Whether an upstream is listed as draining, since the start that the entry names or a later one.
+    fn drains(&self, entry: &Endpoint) -> bool {
+        let listed = self.ids.get(entry.name.as_str()).and_then(|id| self.listed.get(id));
+        listed.is_some_and(|listed| !listed.ready && listed.since_ms >= entry.since_ms)
+    }
+
     /// Forgets a request that has its answer and no attempt out.
     fn release(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|held| held.answer.is_none() && held.out == 0) {
--- a/dahliahead/tests/discovery.rs
+++ b/dahliahead/tests/discovery.rs
@@ -263,6 +263,36 @@
     });
 }
 
+/// Guards drains against news from before them, as from a discovery that lags behind the one asked before: an older
+/// change is passed over, and an older whole list takes nothing out of its drain but a new start.
+#[test]
+fn an_older_list_ends_no_drain() {
+    let (old, new) = (Upstream::start(|_, _| ok("old")), Upstream::start(|_, _| ok("new")));
+    let (balancer, discovery) = Balancer::with(&[endpoint("s-1", old.address, 0, "ready")], 30.0);
+    let (_, watch) = discovery.watch();
+    let ready = endpoint("s-1", old.address, 0, "ready");
+    let other = endpoint("s-2", new.address, 1, "ready");
+    watch.says(9, false, &[endpoint("s-1", old.address, 0, "draining"), other.clone()]);
+    let mut caller = balancer.caller();
+    wait_for("the drain is taken in", || (caller.ask("read", "").body == b"new").then_some(()));
+    let told = old.requests().len();
+    watch.says(8, false, std::slice::from_ref(&ready));
+    watch.says(7, true, &[ready, other.clone()]);
+    // What comes last is taken in last.
+    let third = Upstream::start(|_, _| ok("third"));
+    watch.says(8, false, &[endpoint("s-3", third.address, 2, "ready")]);
+    wait_for("the last word is taken in", || (caller.ask("read", "").body == b"third").then_some(()));
+    for _ in 0..20 {
+        caller.ask("read", "");
+    }
+    assert_eq!(old.requests().len(), told, "the older list ended its drain");
+    // A new start is news.
+    let mut restarted = endpoint("s-1", old.address, 0, "ready");
+    restarted["since_ms"] = 1_000.into();
+    watch.says(9, false, &[restarted]);
+    wait_for("the new start is taken in", || (caller.ask("read", "").body == b"old").then_some(()));
+}
+
 /// Guards the list in hand against a watch that was given up: what still comes on it is not heard.
 #[test]
 fn a_watch_given_up_is_not_heard() {
