Let a cold upstream's ramp go by the calls that warm ones serve, not by those sent there

Cause: a copy gives a cold upstream, of what it sends a warm peer, the part that the cold one surely can do. Summed over the copies that holds for as long as warm ones get no more than they can do. In an overload they are sent more, and turn the rest away; the cold ones, told that much more is usual, get as many times what they can do.

Change: the rate of a warm peer counts calls served. Upstreams set aside no longer count as peers, as they serve none.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -333,10 +333,11 @@
     /// Upstreams of the group's zones, members or not.
     listed: usize,
     members: Vec<usize>,
-    /// Calls a second to a warm member, for the cold ones to go by.
+    /// Calls a second that a warm member serves, for the cold ones to go by: over all copies no more than it can do,
+    /// however many it is sent.
     warm_rate: f64,
-    /// Calls to warm members since the last sweep.
-    warm_sends: u32,
+    /// Calls served by warm members since the last sweep.
+    warm_served: u32,
     /// Time that calls take, failed ones at what they took, in parts of their aims.
     delay: f64,
 }
@@ -986,11 +987,8 @@
         upstream.used = now;
         upstream.in_flight += 1;
         self.subset.in_flight += 1;
-        let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
         if upstream.warmth(now, &self.settings) < 1.0 {
             upstream.tokens -= 1.0;
-        } else {
-            group.warm_sends += 1;
         }
         let member = upstream.member;
         let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
@@ -1114,7 +1112,7 @@
         {
             upstream.connections = upstream.connections.saturating_sub(1);
         }
-        let home = upstream.home;
+        let (home, warm) = (upstream.home, upstream.warmth(now, &self.settings) >= 1.0);
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
         let failed = match outcome {
             Outcome::NotSent | Outcome::Withdrawn => return,
@@ -1156,6 +1154,7 @@
         }
         let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
         let group = if home { &mut self.subset.home } else { &mut self.subset.away };
+        group.warm_served += u32::from(warm && outcome == Outcome::Good);
         let delay = if crowded { took.max(aim) } else { took } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
     }
@@ -1250,11 +1249,11 @@
         self.subset.had = (part * ready).clamp(HAD_LEAST, 1.0);
         self.subset.learn_stay(self.settings.prices.cross_zone, &mut self.rng);
         for group in [&mut self.subset.home, &mut self.subset.away] {
-            let warm = |&&slot: &&usize| self.upstreams[slot].warmth(now, &self.settings) >= 1.0;
+            let warm = |&&slot: &&usize| has(&slot) >= 1.0;
             let warm = group.members.iter().filter(warm).count();
-            let rate = f64::from(group.warm_sends) / SWEEP_S / warm.max(1) as f64;
+            let rate = f64::from(group.warm_served) / SWEEP_S / warm.max(1) as f64;
             group.warm_rate += 0.2 * (rate - group.warm_rate);
-            group.warm_sends = 0;
+            group.warm_served = 0;
         }
     }
 }
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,278 @@
+//! Cold upstreams under the sum of what many copies send: the copies share nothing, so that each one's ramp has to
+//! make the sum hold. Everything runs in virtual time.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use common::*;
+use oorandom::Rand64;
+use peathatch::interface::*;
+use peathatch::{Action, Balancer, Event, Settings};
+
+/// A deployment and a day for it.
+#[derive(Debug, Clone)]
+struct Day {
+    copies: u32,
+    upstreams: u32,
+    /// Upstreams that start cold together.
+    cold: u32,
+    /// Requests a second that a warm upstream serves.
+    capacity: f64,
+    /// Requests offered before the start, in parts of what the warm tier can serve.
+    offered: f64,
+    /// How many times that comes from some seconds after the start on.
+    burst: f64,
+    burst_after_s: f64,
+    /// How many times the mean one copy of five is dealt.
+    uneven: f64,
+    /// Part of the warm upstreams that can't be reached from then on.
+    lost: f64,
+    cold_share: f64,
+    cold_s: f64,
+    multiple: f64,
+    window_s: f64,
+    tier: usize,
+    attempts: u32,
+    /// Copies hear of it up to this long after.
+    late_s: f64,
+    seed: u64,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival,
+    Sweep(usize),
+    Burst,
+    Told(usize),
+    Ended { copy: usize, request: u64, attempt: u32, outcome: u8, took_us: u64 },
+}
+
+const OUTCOMES: [Outcome; 3] = [Outcome::Good, Outcome::Refused, Outcome::ConnectFailed];
+/// When the cold ones start, and when the day ends.
+const START_S: f64 = 12.0;
+const END_S: f64 = 24.0;
+/// A request's time at an upstream.
+const TOOK_S: f64 = 0.05;
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
+
+/// The least number of requests with which a cold upstream may fall, over the window that ends at its age.
+fn budget(day: &Day, age: f64) -> f64 {
+    let warmth = |age: f64| (day.cold_share + (1.0 - day.cold_share) * age / day.cold_s).min(1.0);
+    let steps = 20;
+    let mean: f64 = (0..steps)
+        .map(|step| warmth((age - day.window_s * f64::from(step) / f64::from(steps)).max(0.0)))
+        .sum::<f64>()
+        / f64::from(steps);
+    day.multiple * mean * day.capacity * day.window_s
+}
+
+/// Plays the day and tells by how much the busiest window of a cold upstream went over N + 2 x root of N + 2 (under
+/// it where negative), and how many requests the cold ones were sent while cold.
+fn play(day: &Day) -> (f64, usize) {
+    let mut rng = Rand64::new(u128::from(day.seed));
+    let settings = |copy: u32| {
+        let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+        settings.index = copy;
+        settings.copies = day.copies;
+        settings.tier = day.tier;
+        settings.allowed.attempts = day.attempts;
+        settings.rules.cold_share = day.cold_share;
+        settings.rules.cold_time = Duration::from_secs_f64(day.cold_s);
+        settings.rules.overload_multiple = day.multiple;
+        settings.rules.overload_window = Duration::from_secs_f64(day.window_s);
+        settings
+    };
+    let warm = day.upstreams - day.cold;
+    let before: Vec<Member> = (day.cold..day.upstreams).map(member).collect();
+    let started = Duration::from_secs_f64(START_S);
+    let after: Vec<Member> =
+        (0..day.cold).map(|id| Member { started: Some(started), ..member(id) }).collect();
+    let mut copies: Vec<Balancer> = (0..day.copies)
+        .map(|copy| {
+            let seed = rng.rand_u64();
+            Balancer::new(settings(copy), seed).expect("the settings make sense")
+        })
+        .collect();
+    let mut due = BinaryHeap::new();
+    for (copy, balancer) in copies.iter_mut().enumerate() {
+        let mut actions = Vec::new();
+        balancer.handle(Duration::ZERO, Event::Started, &mut actions);
+        balancer.handle(Duration::ZERO, Event::List(ListUpdate::Whole(before.clone())), &mut actions);
+        due.push(Reverse((micros(0.2 * rng.rand_float()), Due::Sweep(copy))));
+        due.push(Reverse((micros(START_S + day.late_s * rng.rand_float()), Due::Told(copy))));
+    }
+    due.push(Reverse((0, Due::Arrival)));
+    due.push(Reverse((micros(START_S + day.burst_after_s), Due::Burst)));
+    // What each copy is dealt.
+    let parts: Vec<f64> =
+        (0..day.copies).map(|copy| if copy % 5 == 0 && day.copies > 4 { day.uneven } else { 1.0 }).collect();
+    let all: f64 = parts.iter().sum();
+    let base = day.offered * f64::from(warm) * day.capacity;
+    // The recent requests of each warm upstream, and all of each cold one.
+    let mut recent: Vec<VecDeque<f64>> = vec![VecDeque::new(); day.upstreams as usize];
+    let mut sent_cold: Vec<Vec<f64>> = vec![Vec::new(); day.cold as usize];
+    let lost = day.cold + (f64::from(warm) * day.lost) as u32;
+    let mut attempts: HashMap<RequestId, u32> = HashMap::new();
+    let mut next = 0;
+    let mut begun = false;
+    while let Some(Reverse((at, what))) = due.pop() {
+        let now = at as f64 / 1e6;
+        if now > END_S {
+            break;
+        }
+        let (copy, event) = match what {
+            Due::Burst => {
+                begun = true;
+                continue;
+            }
+            Due::Arrival => {
+                let rate = base * if begun { day.burst } else { 1.0 };
+                let gap = -(1.0 - rng.rand_float()).ln() / rate;
+                due.push(Reverse((at + micros(gap).max(1), Due::Arrival)));
+                let mut place = rng.rand_float() * all;
+                let copy = parts
+                    .iter()
+                    .position(|part| {
+                        place -= part;
+                        place < 0.0
+                    })
+                    .unwrap_or(0);
+                next += 1;
+                let request = Request {
+                    id: RequestId(next),
+                    class: ClassId(0),
+                    tenant: None,
+                    key: None,
+                    time_left: millis(3000),
+                    expected_work: None,
+                    repeat: false,
+                };
+                (copy, Event::Request(request))
+            }
+            Due::Sweep(copy) => (copy, Event::Wake),
+            Due::Told(copy) => (copy, Event::List(ListUpdate::Patch(after.clone()))),
+            Due::Ended { copy, request, attempt, outcome, took_us } => {
+                let outcome = OUTCOMES[usize::from(outcome)];
+                let event = Event::AttemptEnded {
+                    request: RequestId(request),
+                    attempt: AttemptNumber(attempt),
+                    outcome,
+                    took: Duration::from_micros(took_us),
+                    finished: outcome == Outcome::Good,
+                    load: None,
+                };
+                (copy, event)
+            }
+        };
+        let mut actions = Vec::new();
+        copies[copy].handle(Duration::from_micros(at), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::WakeAfter(span) => {
+                    due.push(Reverse((at + span.as_micros() as u64, Due::Sweep(copy))));
+                }
+                Action::Send { request, upstream, .. } => {
+                    let place = upstream.0 as usize;
+                    let attempt = *attempts.entry(request).and_modify(|attempt| *attempt += 1).or_insert(0);
+                    let outcome = if upstream.0 < day.cold {
+                        sent_cold[place].push(now);
+                        let within = sent_cold[place].partition_point(|&at| at <= now - day.window_s);
+                        let got = (sent_cold[place].len() - within) as f64;
+                        u8::from(got > budget(day, (now - START_S).max(0.0)) / day.multiple + 2.0)
+                    } else if begun && upstream.0 < lost {
+                        2
+                    } else {
+                        // It serves what it can within a second, and turns the rest away.
+                        while recent[place].front().is_some_and(|&at| at < now - 1.0) {
+                            recent[place].pop_front();
+                        }
+                        let full = recent[place].len() as f64 >= day.capacity + 2.0;
+                        if !full {
+                            recent[place].push_back(now);
+                        }
+                        u8::from(full)
+                    };
+                    let took = if outcome == 0 { TOOK_S } else { 0.002 };
+                    let ended =
+                        Due::Ended { copy, request: request.0, attempt, outcome, took_us: micros(took) };
+                    due.push(Reverse((at + micros(took), ended)));
+                }
+                _ => {}
+            }
+        }
+    }
+    let mut worst = f64::MIN;
+    for sends in &sent_cold {
+        for (place, &end) in sends.iter().enumerate() {
+            let age = end - START_S;
+            if age > day.cold_s {
+                break;
+            }
+            let from = sends.partition_point(|&at| at <= end - day.window_s);
+            let n = budget(day, age);
+            worst = worst.max((place + 1 - from) as f64 - (n + 2.0 * n.sqrt() + 2.0));
+        }
+    }
+    (worst, sent_cold.iter().flatten().filter(|&&at| at - START_S <= day.cold_s).count())
+}
+
+fn drawn(rng: &mut Rand64, copies: u32) -> Day {
+    let mut between = |low: f64, high: f64| low + (high - low) * rng.rand_float();
+    let upstreams = between(6.0, 24.0) as u32;
+    Day {
+        copies,
+        upstreams,
+        cold: (f64::from(upstreams) * between(0.05, 0.6)).max(1.0) as u32,
+        capacity: 1.5 * between(0.0, 3.0).exp(),
+        offered: between(0.2, 1.2),
+        burst: between(1.0, 2.5),
+        burst_after_s: between(-3.0, 8.0).max(0.0),
+        uneven: between(1.0, 5.0),
+        lost: between(-0.5, 0.9).max(0.0),
+        cold_share: between(0.1, 0.6),
+        cold_s: between(3.0, 12.0),
+        multiple: between(1.5, 3.0),
+        window_s: between(1.0, 2.0),
+        tier: between(0.0, 2.0) as usize,
+        attempts: between(2.0, 5.0) as u32,
+        late_s: between(0.0, 2.0),
+        seed: between(0.0, 1e9) as u64,
+    }
+}
+
+/// Plays many days and guards both ways: in no window does the sum go over what the rule puts down to chance, and the
+/// cold upstreams get a fair part of what they can do all the same.
+fn many_days(copies: u32) {
+    const DAYS: u32 = 1000;
+    let mut rng = Rand64::new(u128::from(copies));
+    let mut used = 0.0;
+    for _ in 0..DAYS {
+        let day = drawn(&mut rng, copies);
+        let (over, sent) = play(&day);
+        assert!(over <= 0.0, "{over} over the budget on {day:?}");
+        used += sent as f64 / (day.capacity * f64::from(day.cold) * day.cold_s);
+    }
+    used /= f64::from(DAYS);
+    assert!(used > 0.15, "the cold ones got {used} of what they could do once warm");
+}
+
+#[test]
+fn two_copies_keep_the_budget_of_a_cold_upstream() {
+    many_days(2);
+}
+
+#[test]
+fn twenty_copies_keep_the_budget_of_a_cold_upstream() {
+    many_days(20);
+}
+
+#[test]
+fn thirty_copies_keep_the_budget_of_a_cold_upstream() {
+    many_days(30);
+}
