--- a/dahliahead/tests/common/mod.rs
+++ b/dahliahead/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
@@ -116,6 +116,13 @@
 impl Upstream {
     /// Starts one that answers by `script`, which is told the number of the request.
     pub fn start(script: impl Fn(usize, &Message) -> Reply + Send + Sync + 'static) -> Self {
+        Self::scripted(move |number, message, _| script(number, message))
+    }
+
+    /// The same with the connection in the script's hands.
+    pub fn scripted(
+        script: impl Fn(usize, &Message, &mut TcpStream) -> Reply + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
         let seen = Arc::new(Mutex::new(Seen::default()));
@@ -157,7 +164,7 @@
     mut stream: TcpStream,
     connection: usize,
     seen: &Mutex<Seen>,
-    script: &(dyn Fn(usize, &Message) -> Reply + Send + Sync),
+    script: &(dyn Fn(usize, &Message, &mut TcpStream) -> Reply + Send + Sync),
 ) {
     while let Some(message) = read_message(&mut stream) {
         let number = {
@@ -165,7 +172,7 @@
             seen.requests.push((connection, message.clone()));
             seen.requests.len() - 1
         };
-        match script(number, &message) {
+        match script(number, &message, &mut stream) {
             Reply::Bytes(bytes) => {
                 let _ = stream.write_all(&bytes);
             }
@@ -381,7 +388,11 @@
 
 /// Starts the program where descriptors really run out.
 pub fn program_within(descriptors: usize, configuration: &str) -> Child {
-    let file = write_configuration(configuration);
+    program_on(descriptors, &write_configuration(configuration))
+}
+
+/// The same on a file that is there.
+pub fn program_on(descriptors: usize, file: &Path) -> Child {
     Command::new("/bin/sh")
         .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_dahliahead")])
         .env_clear()
--- a/dahliahead/tests/crossings.rs
+++ b/dahliahead/tests/crossings.rs
@@ -49,12 +49,12 @@
         Self { listener, address, queue }
     }
 
-    /// Waits until the balancer has asked for a connection.
-    fn wait_connecting(&self) {
+    /// Waits until the balancer has asked for so many connections.
+    fn wait_connecting(&self, count: usize) {
         let port = format!(":{:04X} 02 ", self.address.port());
-        wait_for("a connect is under way", || {
+        wait_for("connects are under way", || {
             let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system lists its sockets");
-            sockets.contains(&port).then_some(())
+            (sockets.matches(&port).count() >= count).then_some(())
         });
     }
 
@@ -62,6 +62,8 @@
     fn open(self) -> mpsc::Receiver<TcpStream> {
         let own: Vec<SocketAddr> = self.queue.iter().map(|own| own.local_addr().expect("up")).collect();
         let (report, came) = mpsc::channel();
+        // Room for all of them: one that finds none would be left half open.
+        self.listener.listen(1024).expect("listens");
         let listener: TcpListener = self.listener.into();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -86,13 +88,14 @@
     }
 }
 
-/// Whether anything was sent to an upstream that could be reached only now: nothing may come before the balancer
-/// closes, or must not even connect.
+/// Whether nothing was sent to an upstream that could be reached only now, on any connection up to its end.
 fn nothing_came(came: &mpsc::Receiver<TcpStream>) -> bool {
-    match came.recv_timeout(SOON) {
-        Ok(stream) => all_of(stream).is_empty(),
-        Err(_) => true,
+    while let Ok(stream) = came.recv_timeout(SOON) {
+        if !all_of(stream).is_empty() {
+            return false;
+        }
     }
+    true
 }
 
 // --- A caller leaves ---
@@ -122,24 +125,35 @@
     }
 }
 
-/// Guards the same while the first attempt waits for its connection: it does not begin once the caller has gone,
-/// whether or not attempts may be called off there.
+/// Guards the same while the first attempt waits for its connection: it does not begin once the caller has gone, be it
+/// one or a burst of them, whether or not attempts may be called off there.
 #[test]
-fn nothing_begins_for_a_caller_that_left_during_a_connect() {
-    for cancel in ["\"cancel\":true", "\"cancel\":false"] {
+fn nothing_begins_for_callers_that_left_during_a_connect() {
+    let case = |callers: usize, cancel: bool| {
         let late = Late::start();
         let discovery = Discovery::start();
         let known = [endpoint("s-1", late.address, 0, "ready")];
-        let text = configuration(discovery.address, &known, 50.0, 1024).replace("\"cancel\":true", cancel);
+        let text = configuration(discovery.address, &known, 50.0, 1024)
+            .replace("\"cancel\":true", &format!("\"cancel\":{cancel}"));
         let balancer = Balancer::start(&text);
-        let mut caller = balancer.caller();
-        caller.raw(&order_with(b"more"));
-        late.wait_connecting();
-        caller.0.shutdown(Shutdown::Both).expect("up");
+        let callers: Vec<Caller> = (0..callers)
+            .map(|_| {
+                let mut caller = balancer.caller();
+                caller.raw(&order_with(b"more"));
+                caller
+            })
+            .collect();
+        late.wait_connecting(callers.len());
+        drop(callers);
         // From then on nothing may begin.
         thread::sleep(Duration::from_millis(100));
-        assert!(nothing_came(&late.open()), "{cancel}");
-    }
+        assert!(nothing_came(&late.open()), "withdrawals allowed: {cancel}");
+    };
+    thread::scope(|scope| {
+        for (callers, cancel) in [(1, true), (1, false), (200, true), (200, false)] {
+            scope.spawn(move || case(callers, cancel));
+        }
+    });
 }
 
 /// Guards callers that do not leave: what they had sent behind their request is the next one, in order.
@@ -234,7 +248,7 @@
         let (balancer, discovery) = Balancer::with(&known, 50.0);
         let mut caller = balancer.caller();
         caller.send("order", "one");
-        late.wait_connecting();
+        late.wait_connecting(1);
         let (_, watch) = discovery.watch();
         let drained = endpoint("s-1", late.address, 0, status);
         watch.says(8, false, &[drained, endpoint("s-2", other.address, 1, "ready")]);
@@ -457,3 +471,187 @@
     // The drain's 2.8 s, and what an answer may stand unread.
     assert!(told.elapsed() < Duration::from_secs(8), "{:?}", told.elapsed());
 }
+
+// --- Signals ---
+
+/// A request, and what its caller and its upstream do around SIGTERM.
+struct Ending {
+    child: std::process::Child,
+    log: std::io::BufReader<std::process::ChildStderr>,
+    address: SocketAddr,
+    discovery: Discovery,
+}
+
+impl Ending {
+    fn start(known: &[serde_json::Value]) -> Self {
+        let discovery = Discovery::start();
+        let mut child = program(&configuration(discovery.address, known, 30.0, 1024));
+        let (address, log) = address(&mut child);
+        Self { child, log, address, discovery }
+    }
+
+    /// SIGTERM, up to where the program has taken it in.
+    fn terminate(&mut self) {
+        signal(&self.child, "-TERM");
+        wait_line(&mut self.log, "into the drain");
+    }
+
+    /// The caller gets this answer, and the program its end.
+    fn ends_with(mut self, mut caller: Caller, body: &str) {
+        let answer = caller.answer().expect("what was taken is answered");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, body.as_bytes()));
+        assert!(self.child.wait().expect("ends").success());
+    }
+}
+
+/// An upstream that answers in two parts, the second once it is told to.
+fn in_two_parts(first: &'static str, then: Reply) -> (Upstream, mpsc::Sender<()>) {
+    let (go, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let upstream = Upstream::scripted(move |_, _, stream| {
+        stream.write_all(first.as_bytes()).expect("open");
+        let _ = wait.lock().expect("no panic").recv();
+        then.clone()
+    });
+    (upstream, go)
+}
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved";
+
+/// Guards planned restarts at each step of a request: what was taken before SIGTERM, or is half there, gets its answer,
+/// whatever comes between; a second SIGTERM and a SIGHUP change nothing of it.
+#[test]
+fn sigterm_meets_a_request_at_each_step() {
+    let ready = |address| [endpoint("s-1", address, 0, "ready")];
+    thread::scope(|scope| {
+        // Half of the request is there.
+        scope.spawn(|| {
+            let upstream = Upstream::start(|_, _| ok("served"));
+            let mut ending = Ending::start(&ready(upstream.address));
+            let mut caller = Caller::connect(ending.address);
+            let (head, tail) = (order_with(b"")[..40].to_vec(), order_with(b"")[40..].to_vec());
+            caller.raw(&head);
+            ending.terminate();
+            caller.raw(&tail);
+            ending.ends_with(caller, "served");
+        });
+        // Its attempt connects.
+        scope.spawn(|| {
+            let late = Late::start();
+            let mut ending = Ending::start(&ready(late.address));
+            let mut caller = Caller::connect(ending.address);
+            caller.raw(&order_with(b""));
+            late.wait_connecting(1);
+            ending.terminate();
+            let mut stream = late.open().recv_timeout(LONG).expect("the connection comes up");
+            read_message(&mut stream).expect("the request");
+            stream.write_all(WHOLE.as_bytes()).expect("open");
+            ending.ends_with(caller, "served");
+        });
+        // It is out, and nothing has come back, or half an answer; signals come twice.
+        for half in [0, 20, WHOLE.len() - 2] {
+            scope.spawn(move || {
+                let (upstream, go) =
+                    in_two_parts(&WHOLE[..half], Reply::Bytes(WHOLE.as_bytes()[half..].to_vec()));
+                let mut ending = Ending::start(&ready(upstream.address));
+                let mut caller = Caller::connect(ending.address);
+                caller.raw(&order_with(b""));
+                upstream.wait_requests(1);
+                ending.terminate();
+                signal(&ending.child, "-TERM");
+                signal(&ending.child, "-HUP");
+                go.send(()).expect("the upstream waits");
+                ending.ends_with(caller, "served");
+            });
+        }
+        // It is about to be repeated.
+        scope.spawn(|| {
+            let (go, wait) = mpsc::channel::<()>();
+            let wait = std::sync::Mutex::new(wait);
+            let first = Upstream::start(move |number, _| {
+                if number > 0 {
+                    return ok("first");
+                }
+                let _ = wait.lock().expect("no panic").recv();
+                Reply::Last(Vec::new())
+            });
+            let mut ending = Ending::start(&ready(first.address));
+            let mut caller = Caller::connect(ending.address);
+            caller.send("read", "");
+            first.wait_requests(1);
+            let second = Upstream::start(|_, _| ok("second"));
+            let watch = ending.discovery.watch().1;
+            watch.says(8, false, &[endpoint("s-2", second.address, 0, "ready")]);
+            wait_for("the second is known", || {
+                let answer = Caller::connect(ending.address).try_ask("read", "")?;
+                (answer.body == b"second").then_some(())
+            });
+            ending.terminate();
+            go.send(()).expect("the upstream waits");
+            ending.ends_with(caller, "second");
+        });
+    });
+}
+
+/// Guards restarts of a fleet: hundreds of processes that start at once while discovery is down, takes calls and says
+/// nothing, or drips, serve within 10 s on the list they have.
+#[test]
+fn a_fleet_is_ready_without_discovery() {
+    const EACH: usize = 40;
+    let upstream = Upstream::start(|_, _| ok("served"));
+    let mut known: Vec<_> = (0..300)
+        .map(|number| endpoint(&format!("gone-{number}"), dead_address(), number, "draining"))
+        .collect();
+    known.push(endpoint("s-1", upstream.address, 0, "ready"));
+    let mute = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let drips = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let places = [dead_address(), mute.local_addr().expect("bound"), drips.local_addr().expect("bound")];
+    thread::spawn(move || {
+        for mut stream in drips.incoming().flatten() {
+            thread::spawn(move || {
+                let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let mut written = stream.write_all(head);
+                while written.is_ok() {
+                    thread::sleep(Duration::from_millis(200));
+                    written = stream.write_all(b"1\r\n \r\n");
+                }
+            });
+        }
+    });
+    let ready: usize = thread::scope(|scope| {
+        let fleets: Vec<_> = places
+            .iter()
+            .map(|&place| {
+                let known = &known;
+                scope.spawn(move || {
+                    let file = write_configuration(&configuration(place, known, 30.0, 1024));
+                    let began = Instant::now();
+                    let mut fleet: Vec<_> = (0..EACH).map(|_| program_on(1024, &file)).collect();
+                    let mut logs = Vec::new();
+                    let ready = fleet
+                        .iter_mut()
+                        .filter_map(|child| {
+                            let (address, log) = address(child);
+                            logs.push(log);
+                            wait_for("it says that it is ready", || {
+                                let mut caller = Caller::connect(address);
+                                caller.raw(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+                                (caller.answer()?.status() == 200).then_some(())
+                            });
+                            let in_time = began.elapsed() < Duration::from_secs(10);
+                            assert_eq!(Caller::connect(address).ask("read", "").body, b"served");
+                            in_time.then_some(())
+                        })
+                        .count();
+                    for child in &mut fleet {
+                        child.kill().expect("it runs");
+                        child.wait().expect("ends");
+                    }
+                    ready
+                })
+            })
+            .collect();
+        fleets.into_iter().map(|fleet| fleet.join().expect("no panic")).sum()
+    });
+    assert!(ready * 10 >= places.len() * EACH * 9, "{ready} of {} in time", places.len() * EACH);
+}
