Open a cut limit again while all its calls are denied

Room is made where the gate of a suppressor, the end of a request and the draw said things twice.

Seen to fail without: `a_cut_limit_opens_again_under_calls_that_come_at_once`.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,6 +49,8 @@
 const RISE: f64 = 0.05;
 /// The same below the fair part: about 15% a second, back from a quarter in ten seconds.
 const RISE_BELOW: f64 = 0.15;
+/// What a sweep makes of a cut limit while all calls are denied: about 30% a second.
+const REOPEN: f64 = 1.05;
 /// What a drop leaves of the limit.
 const DROP: f64 = 0.85;
 /// Seconds between drops, at least and at most: drawn, so that copies do not cut together.
@@ -212,11 +214,12 @@
     /// Decides on a call, which is to be counted next.
     fn admit(&mut self, now: f64, limit: f64, rng: &mut Rand64) -> bool {
         let fits = self.fits(now, limit, rng);
-        if f64::from(self.sum.total) >= self.span() * limit * HARD_LIMIT_FACTOR {
-            false
-        } else {
-            fits || rng.rand_float() >= self.factor(limit)
-        }
+        !self.is_over(limit) && (fits || rng.rand_float() >= self.factor(limit))
+    }
+
+    /// Whether the hard limit is reached, at which all calls are denied.
+    fn is_over(&self, limit: f64) -> bool {
+        f64::from(self.sum.total) >= self.span() * limit * HARD_LIMIT_FACTOR
     }
 
     fn count(&mut self, admitted: bool) {
@@ -892,10 +895,8 @@
     }
 
     fn draw(&mut self, now: f64, id: RequestId, from: &[usize]) -> Option<usize> {
-        let usual = self.latencies[self.ledger.entries.get(&id)?.class.0].seconds();
-        if from.is_empty() {
-            return None;
-        }
+        let entry = self.ledger.entries.get(&id).filter(|_| !from.is_empty())?;
+        let usual = self.latencies[entry.class.0].seconds();
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
@@ -970,8 +971,7 @@
         let Some(left) = may_repeat(now, class.effect, entry.first_run(), &upstream.member) else {
             return false;
         };
-        let until = self.useful_until(entry);
-        let timeout = until - now;
+        let timeout = self.useful_until(entry) - now;
         // A time-out at the deadline, off by a rounding, must not send the request once more.
         if timeout < LEAST_S {
             return false;
@@ -987,9 +987,7 @@
         upstream.used = now;
         upstream.in_flight += 1;
         self.subset.in_flight += 1;
-        if upstream.warmth(now, &self.settings) < 1.0 {
-            upstream.tokens -= 1.0;
-        }
+        upstream.tokens -= 1.0;
         let member = upstream.member;
         let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt {
@@ -1010,12 +1008,9 @@
     /// The ONE path that ends a request unserved: refused where that is true, failed otherwise.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
+        let effect = self.settings.classes[entry.class.0].effect;
         let harmless = entry.first_run().is_none()
-            || match self.settings.classes[entry.class.0].effect {
-                Effect::Safe => true,
-                Effect::Keyed { scope, .. } => scope == DedupScope::All,
-                Effect::Unsafe => false,
-            };
+            || matches!(effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
         actions.push(if harmless {
             Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after }
         } else {
@@ -1236,7 +1231,13 @@
             self.subscribe(now, actions);
         }
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
-            limit.usual += 0.02 * (suppressor.accepted_rate(now) - limit.usual);
+            let accepted = suppressor.accepted_rate(now);
+            limit.usual += 0.02 * (accepted - limit.usual);
+            // Calls denied whole tell nothing: callers that come again at once would keep a cut limit for good.
+            let cut = limit.quota.is_none_or(|quota| limit.rate < quota);
+            if cut && accepted == 0.0 && suppressor.is_over(limit.rate) {
+                limit.rate *= REOPEN;
+            }
         }
         // Quotas are parts of a whole tier: while some is gone, cold or set aside, the rest would choke.
         let has = |&slot: &usize| {
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -71,6 +71,19 @@
     assert_eq!(part, 0.0);
 }
 
+/// Found on a busy machine: after a moment of long latencies a limit had been cut, and a caller that came again at once
+/// met the hard limit for good, as calls denied whole tell nothing of the crowd's end.
+#[test]
+fn a_cut_limit_opens_again_under_calls_that_come_at_once() {
+    let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+    settings.tenants = vec![Tenant { quota: None }];
+    let mut bench = Bench::new(settings, 5, (0..4).map(member).collect());
+    assert_eq!(admitted(&mut bench, 5.0, 0.0, 30.0, Outcome::Good), 1.0);
+    admitted(&mut bench, 5.0, 0.0, 10.0, Outcome::TimedOut);
+    let after = admitted(&mut bench, 500.0, 15.0, 25.0, Outcome::Good);
+    assert!(after > 0.0, "all calls denied for as long as they come");
+}
+
 #[test]
 fn a_denied_call_is_refused_unsent_and_does_not_count_as_accepted() {
     let mut bench = ten_a_second();
