Try a new connection where a kept one broke before a byte was sent

Change: what counts is that no byte went out. The connection is gone, so that the next round opens a new one.

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -330,23 +330,21 @@
         progress.size.set(size_on_wire(&request, job.call.body.len()));
         connection.written.set(0);
         progress.written.replace(Some(Rc::clone(&connection.written)));
-        let failure = match connection.sender.send_request(request).await {
-            Ok(response) => {
-                if let Some(idle) = idle {
-                    driver.learn_idle(idle, true);
-                }
-                return match read(driver, response).await {
-                    Some(ended) => (ended, Some(connection)),
-                    None => (Outcome::Reset.into(), None),
-                };
+        if let Ok(response) = connection.sender.send_request(request).await {
+            if let Some(idle) = idle {
+                driver.learn_idle(idle, true);
             }
-            Err(failure) => failure,
-        };
+            return match read(driver, response).await {
+                Some(ended) => (ended, Some(connection)),
+                None => (Outcome::Reset.into(), None),
+            };
+        }
         if let Some(idle) = idle {
             driver.learn_idle(idle, false);
         }
-        // A kept connection that turns out closed before a byte went out has sent nothing.
-        if idle.is_some() && !progress.begun() && failure.is_canceled() {
+        // A kept connection that turns out closed, or to hold what nobody asked for, before a byte went out has sent
+        // nothing.
+        if idle.is_some() && !progress.begun() {
             continue;
         }
         let outcome = if progress.whole() { Outcome::Reset } else { Outcome::ConnectFailed };
