Move the tests of what goes out to an upstream into a test file

No behaviour changes. What they look at becomes public with its meaning: a call's request, its size on the wire, how far it is out, a connection made of a socket that is up.

--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -95,7 +95,10 @@
 }
 
 /// Makes a connection of a socket that has come up.
-async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, ConnectError> {
+///
+/// # Errors
+/// It breaks as it comes up.
+pub async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, ConnectError> {
     let socket = Socket::new(stream);
     let written = Rc::new(Cell::new(0));
     let io = Counted { socket: socket.clone(), written: Rc::clone(&written), _permit: permit };
@@ -184,7 +187,9 @@
 }
 
 impl Call {
-    fn request(&self, time_left: Duration) -> Request<Full<Bytes>> {
+    /// The request of an attempt that will wait for so long.
+    #[must_use]
+    pub fn request(&self, time_left: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
@@ -206,7 +211,8 @@
 
 /// Bytes of a request on the socket, as few as they can be: counted low, so that a doubt is settled as 'may
 /// have run'.
-fn size_on_wire(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+#[must_use]
+pub fn size_on_wire(request: &Request<Full<Bytes>>, body: usize) -> u64 {
     let path = request.uri().path_and_query().map_or(1, |path| path.as_str().len());
     let line = request.method().as_str().len() + 1 + path + " HTTP/1.1\r\n".len();
     let headers: usize = request
@@ -256,18 +262,30 @@
 }
 
 /// How much of the request was on its way when the attempt was given up.
-#[derive(Default)]
-struct Progress {
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Bytes that the socket has taken, once there is one.
     written: RefCell<Option<Rc<Cell<u64>>>>,
+    /// Bytes of the request.
     size: Cell<u64>,
 }
 
 impl Progress {
-    fn whole(&self) -> bool {
+    /// A request of so many bytes goes out on a socket that has taken so many.
+    pub fn on(&self, written: &Rc<Cell<u64>>, size: u64) {
+        self.size.set(size);
+        self.written.replace(Some(Rc::clone(written)));
+    }
+
+    /// Its last byte is out, so that it may run.
+    #[must_use]
+    pub fn whole(&self) -> bool {
         self.written.borrow().as_ref().is_some_and(|written| written.get() >= self.size.get())
     }
 
-    fn begun(&self) -> bool {
+    /// Its first byte is out.
+    #[must_use]
+    pub fn begun(&self) -> bool {
         self.written.borrow().as_ref().is_some_and(|written| written.get() > 0)
     }
 }
@@ -327,9 +345,8 @@
             return (Outcome::NotSent.into(), None);
         }
         let request = job.call.request(job.until.saturating_duration_since(Instant::now()));
-        progress.size.set(size_on_wire(&request, job.call.body.len()));
         connection.written.set(0);
-        progress.written.replace(Some(Rc::clone(&connection.written)));
+        progress.on(&connection.written, size_on_wire(&request, job.call.body.len()));
         if let Ok(response) = connection.sender.send_request(request).await {
             if let Some(idle) = idle {
                 driver.learn_idle(idle, true);
@@ -390,94 +407,3 @@
     }
     Some(report)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::os::fd::OwnedFd;
-    use std::os::unix::net::UnixStream;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
-    use tokio::task::LocalSet;
-
-    fn call(method: Method, body: &'static [u8]) -> Call {
-        Call {
-            key: (method == Method::POST).then(|| HeaderValue::from_static("k-1")),
-            method,
-            uri: Uri::from_static("/order?k=7f"),
-            host: HeaderValue::from_static("origin.svc"),
-            id: HeaderValue::from_static("r-1"),
-            body: Bytes::from_static(body),
-            once: false,
-        }
-    }
-
-    /// Guards the line between 'never ran' and 'may have run': the size reckoned beforehand is what goes out,
-    /// so that a request short of one byte is known to be.
-    #[test]
-    fn the_size_reckoned_is_what_is_written() {
-        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("starts");
-        let calls = [call(Method::GET, b""), call(Method::POST, b""), call(Method::POST, b"instalments")];
-        for call in calls {
-            let request = call.request(Duration::from_millis(2500));
-            let size = size_on_wire(&request, call.body.len());
-            let written = runtime.block_on(async {
-                let (near, mut far) = duplex(1 << 16);
-                let (mut sender, connection) =
-                    http1::handshake::<_, Full<Bytes>>(TokioIo::new(near)).await.expect("no bytes yet");
-                let upstream = async {
-                    let mut bytes = vec![0; size as usize];
-                    far.read_exact(&mut bytes).await.expect("so many bytes come");
-                    far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-                        .await
-                        .expect("read");
-                    let mut more = Vec::new();
-                    far.read_to_end(&mut more).await.expect("closed");
-                    bytes.len() + more.len()
-                };
-                let (answer, _, written) = tokio::join!(sender.send_request(request), connection, upstream);
-                answer.expect("an answer");
-                written
-            });
-            assert_eq!(written as u64, size, "{:?}", call.method);
-        }
-    }
-
-    /// Guards the same line for an attempt that is given up half-way.
-    #[test]
-    fn a_request_is_whole_with_its_last_byte() {
-        let progress = Progress::default();
-        assert!(!progress.whole() && !progress.begun());
-        let written = Rc::new(Cell::new(0));
-        progress.size.set(200);
-        progress.written.replace(Some(Rc::clone(&written)));
-        assert!(!progress.whole() && !progress.begun());
-        written.set(199);
-        assert!(!progress.whole() && progress.begun());
-        written.set(200);
-        assert!(progress.whole());
-    }
-
-    /// Guards a socket that is up against an option that fails on it, as TCP's do on a Unix socket: it carries
-    /// requests all the same.
-    #[test]
-    fn a_socket_that_refuses_an_option_carries_requests() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
-        LocalSet::new().block_on(&runtime, async {
-            let (near, far) = UnixStream::pair().expect("a pair");
-            near.set_nonblocking(true).expect("an open socket");
-            far.set_nonblocking(true).expect("an open socket");
-            let near = TcpStream::from_std(OwnedFd::from(near).into()).expect("an open socket");
-            let mut far = tokio::net::UnixStream::from_std(far).expect("an open socket");
-            assert!(near.set_nodelay(true).is_err(), "the option does not fail here");
-            let mut connection = speak(near, Permit::of(&Rc::default())).await.expect("it is up");
-            let upstream = async {
-                let mut head = [0; 64];
-                assert!(far.read(&mut head).await.expect("open") > 0);
-                far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("read");
-            };
-            let request = call(Method::GET, b"").request(Duration::from_millis(2500));
-            let (answer, ()) = tokio::join!(connection.sender.send_request(request), upstream);
-            assert_eq!(answer.expect("it is answered").status(), StatusCode::OK);
-        });
-    }
-}
--- /dev/null
+++ b/dahliahead/tests/sending.rs
@@ -0,0 +1,100 @@
+//! What goes out to an upstream, byte by byte, and when it is whole.
+
+use std::cell::Cell;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dahliahead::driver::Permit;
+use dahliahead::upstream::{Call, Progress, size_on_wire, speak};
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::header::HeaderValue;
+use hyper::{Method, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+
+fn call(method: Method, body: &'static [u8]) -> Call {
+    Call {
+        key: (method == Method::POST).then(|| HeaderValue::from_static("k-1")),
+        method,
+        uri: Uri::from_static("/order?k=7f"),
+        host: HeaderValue::from_static("origin.svc"),
+        id: HeaderValue::from_static("r-1"),
+        body: Bytes::from_static(body),
+        once: false,
+    }
+}
+
+/// Guards the line between 'never ran' and 'may have run': the size reckoned beforehand is what goes out,
+/// so that a request short of one byte is known to be.
+#[test]
+fn the_size_reckoned_is_what_is_written() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("starts");
+    let calls = [call(Method::GET, b""), call(Method::POST, b""), call(Method::POST, b"instalments")];
+    for call in calls {
+        let request = call.request(Duration::from_millis(2500));
+        let size = size_on_wire(&request, call.body.len());
+        let written = runtime.block_on(async {
+            let (near, mut far) = duplex(1 << 16);
+            let (mut sender, connection) =
+                http1::handshake::<_, Full<Bytes>>(TokioIo::new(near)).await.expect("no bytes yet");
+            let upstream = async {
+                let mut bytes = vec![0; size as usize];
+                far.read_exact(&mut bytes).await.expect("so many bytes come");
+                far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                    .await
+                    .expect("read");
+                let mut more = Vec::new();
+                far.read_to_end(&mut more).await.expect("closed");
+                bytes.len() + more.len()
+            };
+            let (answer, _, written) = tokio::join!(sender.send_request(request), connection, upstream);
+            answer.expect("an answer");
+            written
+        });
+        assert_eq!(written as u64, size, "{:?}", call.method);
+    }
+}
+
+/// Guards the same line for an attempt that is given up half-way.
+#[test]
+fn a_request_is_whole_with_its_last_byte() {
+    let progress = Progress::default();
+    assert!(!progress.whole() && !progress.begun());
+    let written = Rc::new(Cell::new(0));
+    progress.on(&written, 200);
+    assert!(!progress.whole() && !progress.begun());
+    written.set(199);
+    assert!(!progress.whole() && progress.begun());
+    written.set(200);
+    assert!(progress.whole());
+}
+
+/// Guards a socket that is up against an option that fails on it, as TCP's do on a Unix socket: it carries
+/// requests all the same.
+#[test]
+fn a_socket_that_refuses_an_option_carries_requests() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("starts");
+    LocalSet::new().block_on(&runtime, async {
+        let (near, far) = UnixStream::pair().expect("a pair");
+        near.set_nonblocking(true).expect("an open socket");
+        far.set_nonblocking(true).expect("an open socket");
+        let near = TcpStream::from_std(OwnedFd::from(near).into()).expect("an open socket");
+        let mut far = tokio::net::UnixStream::from_std(far).expect("an open socket");
+        assert!(near.set_nodelay(true).is_err(), "the option does not fail here");
+        let mut connection = speak(near, Permit::of(&Rc::default())).await.expect("it is up");
+        let upstream = async {
+            let mut head = [0; 64];
+            assert!(far.read(&mut head).await.expect("open") > 0);
+            far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("read");
+        };
+        let request = call(Method::GET, b"").request(Duration::from_millis(2500));
+        let (answer, ()) = tokio::join!(connection.sender.send_request(request), upstream);
+        assert_eq!(answer.expect("it is answered").status(), StatusCode::OK);
+    });
+}
