--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -36,7 +36,7 @@
 const KEEP_PART: f64 = 0.7;
 /// How long a connection rests after an answer before it carries the next request: an upstream at fault may send a
 /// second answer some milliseconds behind the first, and the next request's caller would get it.
-const REST: Duration = Duration::from_millis(20);
+const REST: Duration = Duration::from_millis(10);
 /// Descriptors that are no connection: standard streams, listener, runtime.
 const OTHER_DESCRIPTORS: usize = 16;
 /// Descriptors that upstream connections leave to callers.
