--- a/dahliahead/tests/crossings.rs
+++ b/dahliahead/tests/crossings.rs
@@ -153,8 +153,12 @@
         assert!(nothing_came(&late.open()), "withdrawals allowed: {cancel}");
     };
     thread::scope(|scope| {
-        for (callers, cancel) in [(1, true), (1, false), (200, true), (200, false)] {
-            scope.spawn(move || case(callers, cancel));
+        for cancel in [true, false] {
+            scope.spawn(move || case(1, cancel));
+        }
+        // One after the other: a process may have no more than a thousand descriptors.
+        for cancel in [true, false] {
+            case(200, cancel);
         }
     });
 }
