--- a/dahliahead/src/counters.rs
+++ b/dahliahead/src/counters.rs
@@ -29,9 +29,9 @@
     pub kept_reset: u32,
     /// The reason for one of the connections that did not come up has been logged.
     pub unreached_told: bool,
-    /// Attempts by their outcome: good, error, refused, rejected, timed out, no connection,
+    /// Attempts by their outcome: good, error, refused, rejected, timed out, no connection, none in time,
     /// reset, withdrawn, not sent.
-    outcomes: [u32; 9],
+    outcomes: [u32; 10],
     /// Time that the good ones took, and the longest.
     took: Duration,
     longest: Duration,
@@ -64,12 +64,13 @@
             took,
             longest,
         } = self;
-        let [good, error, full, rejected, late, unreached, reset, withdrawn, unsent] = *outcomes;
+        let [good, error, full, rejected, late, unreached, unconnected, reset, withdrawn, unsent] = *outcomes;
         write!(
             f,
             "requests: {taken} taken, {served} served, {denied} denied, {refused} refused, {failed} failed, \
              {left} left; attempts: {good} good ({:.0} ms, {:.0} at most), {error} error, {full} full, \
-             {rejected} rejected, {late} late, {unreached} unreached, {reset} reset ({kept_reset} on kept connections), {withdrawn} withdrawn, \
+             {rejected} rejected, {late} late, {unreached} unreached, {unconnected} not connected in time, \
+             {reset} reset ({kept_reset} on kept connections), {withdrawn} withdrawn, \
              {unsent} unsent; {opened} connections opened",
             took.as_secs_f64() * 1000.0 / f64::from(good.max(1)),
             longest.as_secs_f64() * 1000.0,
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -464,6 +464,7 @@
             attempt: job.attempt,
             outcome: ended.outcome,
             took: job.asked.elapsed(),
+            connecting: Duration::ZERO,
             finished,
             load: ended.load,
         });
@@ -668,6 +669,7 @@
                 attempt,
                 outcome: Outcome::NotSent,
                 took: Duration::ZERO,
+                connecting: Duration::ZERO,
                 finished,
                 load: None,
             });
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -58,6 +58,7 @@
                 attempt: AttemptNumber(0),
                 outcome: Outcome::Good,
                 took: Duration::from_millis(20),
+                connecting: Duration::ZERO,
                 finished: true,
                 load: None,
             };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -654,7 +654,7 @@
             }
             Event::ClientLeft(request) => self.close(request, actions),
             Event::Wake => self.sweep(now, actions),
-            Event::Probed { .. } | Event::Message { .. } => {}
+            Event::Probed { .. } | Event::Message { .. } | Event::Connected(_) => {}
         }
     }
 
@@ -1114,7 +1114,7 @@
             // It tells of the caller, not of the upstream.
             Outcome::Rejected => return upstream.heard = now,
             Outcome::Good | Outcome::Refused => false,
-            Outcome::Error | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => true,
+            _ => true,
         };
         if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed) {
             upstream.heard = now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -350,8 +350,10 @@
     Rejected,
     /// No answer in time; it may have run or still run.
     TimedOut,
-    /// No connection; it never ran.
+    /// No connection: the upstream turned it down, or it broke before the last byte; it never ran.
     ConnectFailed,
+    /// No connection came up in time, though one may yet; it never ran.
+    ConnectTimedOut,
     /// The connection broke; it may have run.
     Reset,
     /// Withdrawn; it may have run.
@@ -364,7 +366,7 @@
     /// Whether this outcome proves that the attempt never ran.
     #[must_use]
     pub fn never_ran(self) -> bool {
-        matches!(self, Self::Refused | Self::ConnectFailed | Self::NotSent)
+        matches!(self, Self::Refused | Self::ConnectFailed | Self::ConnectTimedOut | Self::NotSent)
     }
 }
 
@@ -430,11 +432,15 @@
         outcome: Outcome,
         /// How long it took.
         took: Duration,
+        /// How long of that it had no connection yet: nothing that the upstream's work took.
+        connecting: Duration,
         /// The request has ended with it, or before.
         finished: bool,
         /// The upstream's load report, if one came.
         load: Option<LoadReport>,
     },
+    /// A connection has come up that no attempt waits for any more: the upstream is within reach.
+    Connected(UpstreamId),
     /// The client has left, or the final answer is overdue: nothing more is owed.
     ClientLeft(RequestId),
     /// The sweep asked for by [`Action::WakeAfter`] is due.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 //!     attempt: AttemptNumber(0),
 //!     outcome: Outcome::Good,
 //!     took: Duration::from_millis(80),
+//!     connecting: Duration::ZERO,
 //!     finished: true,
 //!     load: None,
 //! };
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -164,6 +164,7 @@
                     attempt: AttemptNumber(attempt),
                     outcome,
                     took: Duration::from_micros(took_us),
+                    connecting: Duration::ZERO,
                     finished: outcome == Outcome::Good,
                     load: None,
                 };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,7 @@
             attempt: AttemptNumber(number),
             outcome,
             took,
+            connecting: Duration::ZERO,
             finished: outcome == Outcome::Good,
             load: None,
         })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -251,7 +251,8 @@
         held.over |= outcome == Outcome::Good;
         let finished = held.over || held.finals > 0;
         let attempt = AttemptNumber(n as u32);
-        self.tell(Event::AttemptEnded { request, attempt, outcome, took, finished, load: None });
+        let connecting = millis(0);
+        self.tell(Event::AttemptEnded { request, attempt, outcome, took, connecting, finished, load: None });
         let held = &self.held[&request];
         let out = held.attempts.iter().any(|sent| sent.ended.is_none());
         assert!(held.over || held.finals == 1 || out, "left without an attempt or an answer");
@@ -467,6 +468,7 @@
             attempt: AttemptNumber(5),
             outcome: Outcome::Good,
             took: millis(0),
+            connecting: millis(0),
             finished: true,
             load: None,
         };
@@ -502,6 +504,7 @@
         attempt: AttemptNumber(0),
         outcome: Outcome::Reset,
         took: millis(1),
+        connecting: millis(0),
         finished: false,
         load: None,
     });
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -408,7 +408,8 @@
         ticket.out = ticket.out.saturating_sub(1);
         ticket.ended |= finished;
     }
-    Ok(Some(Event::AttemptEnded { request, attempt, outcome, took, finished, load }))
+    let connecting = Duration::ZERO;
+    Ok(Some(Event::AttemptEnded { request, attempt, outcome, took, connecting, finished, load }))
 }
 
 fn load(names: &Names, fields: &mut Fields) -> Result<Option<LoadReport>, Malformed> {
