Dial in the background, and let an attempt take whichever connection comes first

Change: connections between attempts are a pool of their own (pool.rs; connection.rs holds one connection). An attempt waits for its own dial or one that falls free, for four usual connect times of the zone (an eighth of dialTimeoutS at least); a dial that nobody waits for goes on, one for each upstream, up to 3.5 s, and is kept where none stands by.

--- /dev/null
+++ b/dahliahead/src/connection.rs
@@ -0,0 +1,136 @@
+//! One HTTP/1.1 connection to an upstream or to discovery.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::socket::Socket;
+
+/// A socket counted against the budget for as long as it lives.
+#[derive(Debug)]
+pub struct Permit(Rc<Cell<usize>>);
+
+impl Permit {
+    /// Counts a socket more.
+    #[must_use]
+    pub fn of(sockets: &Rc<Cell<usize>>) -> Self {
+        sockets.set(sockets.get() + 1);
+        Self(Rc::clone(sockets))
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// An open connection. Dropping it closes the socket, whatever is still under way on it: an attempt that is
+/// no longer waited for must not come to its end unseen.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends a request.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Bytes that the socket has taken.
+    pub written: Rc<Cell<u64>>,
+    socket: Socket,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Whether a request may go out on it: the last answer is through, and the peer has neither closed nor sent
+    /// anything since, which would pass for the next answer.
+    #[must_use]
+    pub fn is_free(&self) -> bool {
+        self.sender.is_ready() && self.socket.is_silent()
+    }
+}
+
+/// Makes a connection of a socket that has come up.
+///
+/// # Errors
+/// It breaks as it comes up.
+pub async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, hyper::Error> {
+    let socket = Socket::new(stream);
+    let written = Rc::new(Cell::new(0));
+    let io = Counted { socket: socket.clone(), written: Rc::clone(&written), _permit: permit };
+    let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
+    let task = tokio::task::spawn_local(async move {
+        // How it ends shows in the request that is out on it, if one is.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender, written, socket, task: task.abort_handle() })
+}
+
+/// A socket that counts the bytes it has taken: what was never written whole never ran.
+struct Counted {
+    socket: Socket,
+    written: Rc<Cell<u64>>,
+    _permit: Permit,
+}
+
+impl Counted {
+    fn count(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let bytes = ready!(done)?;
+        self.written.set(self.written.get() + bytes as u64);
+        Poll::Ready(Ok(bytes))
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.socket).poll_write(context, bytes);
+        self.count(done)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.socket).poll_write_vectored(context, parts);
+        self.count(done)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+}
--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -11,10 +11,11 @@
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
+use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+use crate::connection::speak;
 use crate::driver::Driver;
-use crate::upstream::{self, Dial};
 
 /// A word from discovery: the whole list or what changed.
 #[derive(Debug, Clone, Deserialize)]
@@ -138,9 +139,11 @@
     since: u64,
 ) -> Result<std::convert::Infallible, WatchError> {
     let mut by = Instant::now() + first_word;
-    let dial = Dial { address, patience: first_word };
-    let mut conn =
-        upstream::connect(driver.reserved_permit(), dial).await.map_err(|_| WatchError::Connect)?;
+    let permit = driver.pool().reserved_permit();
+    let Ok(Ok(stream)) = timeout_at(by, TcpStream::connect(address)).await else {
+        return Err(WatchError::Connect);
+    };
+    let mut conn = speak(stream, permit).await?;
     let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
         .header(header::HOST, address.to_string())
         .body(Full::<Bytes>::default())
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -4,7 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
@@ -22,8 +22,8 @@
 use crate::config::Config;
 use crate::counters::{self, Counters};
 use crate::discovery::{self, Endpoint, Patience, TOLD_AFTER, Update};
-use crate::trust::Trust;
-use crate::upstream::{self, Call, ConnectError, Connection, Ended, Job};
+use crate::pool::{AcquireError, Host, Pool};
+use crate::upstream::{self, Call, Ended, Job};
 
 /// How far the module's clock runs ahead of the program's start: upstreams that started before it have a
 /// time on that clock too. One that started earlier still has been warm for long.
@@ -31,36 +31,6 @@
 /// How long a new process waits for discovery's first word before it says that it can serve: the agent on its own
 /// machine answers at once unless discovery is down, and then the list of the configuration is the best there is.
 const TOLD_WITHIN: Duration = Duration::from_millis(500);
-/// Part of the settings' idle limit after which a kept connection is closed: one that the upstream closes as a
-/// request is written ends that request as a reset.
-const KEEP_PART: f64 = 0.7;
-/// How long a connection rests after an answer before it carries the next request: an upstream at fault may send a
-/// second answer some milliseconds behind the first, and the next request's caller would get it.
-const REST: Duration = Duration::from_millis(10);
-/// Descriptors that are no connection: standard streams, listener, runtime.
-const OTHER_DESCRIPTORS: usize = 16;
-/// Descriptors that upstream connections leave to callers.
-const CALLERS_PART: usize = 4;
-
-/// A socket counted against the budget for as long as it lives.
-#[derive(Debug)]
-pub struct Permit(Rc<Cell<usize>>);
-
-impl Permit {
-    /// Counts a socket more.
-    #[must_use]
-    pub fn of(sockets: &Rc<Cell<usize>>) -> Self {
-        sockets.set(sockets.get() + 1);
-        Self(Rc::clone(sockets))
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// The final answer to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -107,14 +77,16 @@
 
 struct Listed {
     address: SocketAddr,
+    zone: Option<ZoneId>,
     since_ms: u64,
     ready: bool,
 }
 
-struct Kept {
-    connection: Connection,
-    address: SocketAddr,
-    since: Instant,
+impl Listed {
+    /// Whether new work may go to it at this address.
+    fn is_at(&self, address: SocketAddr) -> bool {
+        self.ready && self.address == address
+    }
 }
 
 struct Core {
@@ -125,8 +97,6 @@
     ids: FxHashMap<Box<str>, UpstreamId>,
     taken_ids: FxHashSet<UpstreamId>,
     listed: FxHashMap<UpstreamId, Listed>,
-    /// Idle connections, the most recently used last.
-    kept: FxHashMap<UpstreamId, Vec<Kept>>,
     index: u64,
     /// Some list has come, with the configuration or from discovery.
     has_list: bool,
@@ -147,11 +117,7 @@
     zero_ms: u64,
     discovery: Cell<SocketAddr>,
     patience: Patience,
-    connect_timeout: Duration,
-    keep: Duration,
-    trust: RefCell<Trust>,
-    sockets: Rc<Cell<usize>>,
-    sockets_most: usize,
+    pool: Rc<Pool>,
 }
 
 impl Driver {
@@ -171,7 +137,7 @@
         let ask_within = &mut loaded.settings.rules.ask_within;
         *ask_within = Some(ask_within.unwrap_or(TOLD_AFTER).min(TOLD_AFTER));
         let patience = Patience::of(loaded.settings.discovery);
-        let keep = loaded.settings.allowed.keepalive.mul_f64(KEEP_PART);
+        let keepalive = loaded.settings.allowed.keepalive;
         let classes = loaded.settings.classes.clone();
         let core = Core {
             balancer: Balancer::new(loaded.settings, config.seed)?,
@@ -181,7 +147,6 @@
             ids: FxHashMap::default(),
             taken_ids: FxHashSet::default(),
             listed: FxHashMap::default(),
-            kept: FxHashMap::default(),
             index: 0,
             has_list: false,
             told: false,
@@ -189,7 +154,7 @@
             watch_number: 0,
             counters: Counters::default(),
         };
-        let driver = Rc::new(Self {
+        let driver = Rc::new_cyclic(|driver: &Weak<Self>| Self {
             core: RefCell::new(core),
             names: loaded.names,
             classes,
@@ -197,11 +162,14 @@
             zero_ms: unix.saturating_sub(CLOCK_LEAD).as_millis() as u64,
             discovery: Cell::new(config.discovery),
             patience,
-            connect_timeout: loaded.connect_timeout,
-            keep,
-            trust: RefCell::new(Trust::new(keep)),
-            sockets: Rc::new(Cell::new(0)),
-            sockets_most: config.sockets.saturating_sub(OTHER_DESCRIPTORS),
+            pool: {
+                let driver = Weak::clone(driver);
+                Pool::new(loaded.connect_timeout, keepalive, config.sockets, move |upstream| {
+                    if let Some(driver) = driver.upgrade() {
+                        driver.handle(Event::Connected(upstream));
+                    }
+                })
+            },
         });
         // The subscription asks for what came after the list in hand, so that is noted first.
         driver.core.borrow_mut().index = config.known.as_ref().map_or(0, |known| known.index);
@@ -212,8 +180,8 @@
         let sweeper = Rc::clone(&driver);
         spawn_local(async move {
             loop {
-                sleep(sweeper.keep / 8).await;
-                sweeper.drop_old();
+                sleep(sweeper.pool.keep_for() / 8).await;
+                sweeper.pool.close_old();
             }
         });
         let teller = Rc::clone(&driver);
@@ -232,10 +200,10 @@
         &self.names
     }
 
-    /// How long a connection may take to come up.
+    /// The connections to upstreams.
     #[must_use]
-    pub fn connect_timeout(&self) -> Duration {
-        self.connect_timeout
+    pub fn pool(&self) -> &Rc<Pool> {
+        &self.pool
     }
 
     /// Whether a list of upstreams is in hand, and not just the configuration's, which may be old, while discovery
@@ -257,15 +225,13 @@
         let mut core = self.core.borrow_mut();
         let counters = std::mem::take(&mut core.counters);
         let ready = core.listed.values().filter(|listed| listed.ready).count();
-        let idle: usize = core.kept.values().map(Vec::len).sum();
+        let (idle, late, sockets, sockets_most, trusted) = self.pool.figures();
         let out: u32 = core.requests.values().map(|held| held.out).sum();
         crate::log(format_args!(
-            "{counters}; now: {} held, {out} attempts out, {idle} connections idle (trusted for {} ms), \
-             {} of {} sockets, {ready} of {} upstreams ready, list {}; {}",
+            "{counters}; now: {} held, {out} attempts out, {idle} connections idle (trusted for {} ms) \
+             and {late} late, {sockets} of {sockets_most} sockets, {ready} of {} upstreams ready, list {}; {}",
             core.requests.len(),
-            self.trust.borrow().trusted().as_millis(),
-            self.sockets.get(),
-            self.sockets_most,
+            trusted.as_millis(),
             core.listed.len(),
             core.index,
             core.balancer.vitals(),
@@ -276,93 +242,26 @@
         CLOCK_LEAD + self.zero.elapsed()
     }
 
-    // --- Sockets ---
-
-    /// Counts a connection that is had in any case: a caller's, which the machine has already accepted, or
-    /// discovery's, without which drains would be missed.
-    #[must_use]
-    pub fn reserved_permit(&self) -> Permit {
-        Permit::of(&self.sockets)
-    }
-
-    /// Whether so many sockets are open that those not in use must go.
-    #[must_use]
-    pub fn crowded(&self) -> bool {
-        self.sockets.get() >= self.sockets_most - self.sockets_most / (2 * CALLERS_PART)
-    }
-
-    /// Whether the budget is used up: what is left then is discovery's and the program's own.
-    #[must_use]
-    pub fn full(&self) -> bool {
-        self.sockets.get() > self.sockets_most
-    }
-
-    /// A socket for a connection of our own, if the budget has one: idle ones are closed to make room.
-    #[must_use]
-    pub fn permit(&self) -> Option<Permit> {
-        let most = self.sockets_most - self.sockets_most / CALLERS_PART;
-        if self.sockets.get() >= most {
-            self.drop_idle_most();
-        }
-        (self.sockets.get() < self.sockets_most).then(|| self.reserved_permit())
-    }
-
-    /// Closes the idle connection to an upstream that was used least recently; tells whether there was one.
-    pub fn drop_idle_most(&self) -> bool {
-        let mut core = self.core.borrow_mut();
-        let oldest = core
-            .kept
-            .values_mut()
-            .filter(|kept| !kept.is_empty())
-            .min_by_key(|kept| kept.first().map(|oldest| oldest.since));
-        oldest.map(|kept| kept.remove(0)).is_some()
-    }
+    // --- Connections ---
 
-    /// A free connection to an upstream, the most recently used first, and for how long it stood idle. For a
-    /// request that must run `once` at most those idle for longer than is trusted are closed: the new one that it
-    /// gets takes their place.
+    /// The connections to an upstream, if discovery's last word allows new work for it at this address.
     #[must_use]
-    pub fn take_idle(&self, upstream: UpstreamId, once: bool) -> Option<(Connection, Duration)> {
-        let most = if once { self.trust.borrow().trusted() } else { self.keep };
-        let mut core = self.core.borrow_mut();
-        let kept = core.kept.get_mut(&upstream)?;
-        while let Some(place) = kept.iter().rposition(|kept| kept.since.elapsed() >= REST) {
-            let last = kept.remove(place);
-            let idle = last.since.elapsed();
-            if last.connection.is_free() && idle < self.keep {
-                return (idle <= most).then_some((last.connection, idle));
-            }
-        }
-        None
+    pub fn host(&self, upstream: UpstreamId, address: SocketAddr) -> Option<Rc<Host>> {
+        let core = self.core.borrow();
+        let listed = core.listed.get(&upstream).filter(|listed| listed.is_at(address))?;
+        Some(self.pool.host(upstream, address, listed.zone))
     }
 
     /// Learns whether a connection that was idle for so long has carried its request.
     pub fn learn_idle(&self, idle: Duration, answered: bool) {
-        if answered {
-            self.trust.borrow_mut().answered(idle);
-        } else {
-            self.trust.borrow_mut().reset(idle);
-            self.core.borrow_mut().counters.kept_reset += 1;
-        }
-    }
-
-    /// Keeps a connection for the next attempt.
-    pub fn keep(&self, upstream: UpstreamId, address: SocketAddr, connection: Connection) {
-        if !self.may_send(upstream, address) || !connection.is_free() {
-            return;
-        }
-        let kept = Kept { connection, address, since: Instant::now() };
-        self.core.borrow_mut().kept.entry(upstream).or_default().push(kept);
+        self.pool.learn_idle(idle, answered);
+        self.core.borrow_mut().counters.kept_reset += u32::from(!answered);
     }
 
     /// Whether discovery's last word allows new work for an upstream at this address.
     #[must_use]
     pub fn may_send(&self, upstream: UpstreamId, address: SocketAddr) -> bool {
-        self.core
-            .borrow()
-            .listed
-            .get(&upstream)
-            .is_some_and(|listed| listed.ready && listed.address == address)
+        self.core.borrow().listed.get(&upstream).is_some_and(|listed| listed.is_at(address))
     }
 
     /// Whether a request still wants an answer: its caller may have gone, or another attempt have served it.
@@ -378,19 +277,12 @@
 
     /// Logs why a connection did not come up, once between two lines of counts: upstreams may be out of reach
     /// for long.
-    pub fn tell_unreached(&self, address: SocketAddr, error: &ConnectError) {
+    pub fn tell_unreached(&self, address: SocketAddr, error: &AcquireError) {
         if !std::mem::replace(&mut self.core.borrow_mut().counters.unreached_told, true) {
             crate::log(format_args!("{address} was not reached: {error}"));
         }
     }
 
-    fn drop_old(&self) {
-        let mut core = self.core.borrow_mut();
-        for kept in core.kept.values_mut() {
-            kept.retain(|kept| kept.connection.is_free() && kept.since.elapsed() < self.keep);
-        }
-    }
-
     // --- Requests ---
 
     /// Takes a request; its final answer comes through the receiver.
@@ -439,11 +331,12 @@
 
     /// An attempt is over.
     pub fn attempt_ended(self: &Rc<Self>, job: &Job, ended: Ended) {
+        let took = job.asked.elapsed();
         let finished = {
             let mut core = self.core.borrow_mut();
             let Core { requests, counters, .. } = &mut *core;
             let Some(held) = requests.get_mut(&job.request) else { return };
-            counters.attempt(ended.outcome, job.asked.elapsed());
+            counters.attempt(ended.outcome, took);
             held.out -= 1;
             if let Some(withdraw) = held.attempts.get_mut(job.attempt.0 as usize) {
                 *withdraw = None;
@@ -463,8 +356,8 @@
             request: job.request,
             attempt: job.attempt,
             outcome: ended.outcome,
-            took: job.asked.elapsed(),
-            connecting: Duration::ZERO,
+            took,
+            connecting: ended.connecting.unwrap_or(took),
             finished,
             load: ended.load,
         });
@@ -538,14 +431,8 @@
                 core.listed.retain(|id, _| seen.contains(id));
             }
             // Nothing kept goes to an upstream that drains, is gone, or has moved.
-            let Core { kept, listed, .. } = &mut *core;
-            kept.retain(|id, kept| match listed.get(id).filter(|listed| listed.ready) {
-                Some(listed) => {
-                    kept.retain(|kept| kept.address == listed.address);
-                    true
-                }
-                None => false,
-            });
+            let listed = &core.listed;
+            self.pool.retain(|id, address| listed.get(&id).is_some_and(|listed| listed.is_at(address)));
             members
         };
         self.handle(Event::List(kind(members)));
@@ -559,23 +446,24 @@
             _ => return None,
         };
         let id = core.id(&endpoint.name);
+        let zone = self.names.zones.get(&endpoint.zone).copied().map(ZoneId);
         if phase == Phase::Gone {
             core.listed.remove(&id);
         } else {
             // A drain holds, whatever has become of the address.
             let known = core.listed.get(&id).filter(|_| phase == Phase::Draining).map(|known| known.address);
             let address = endpoint.address.parse().ok().or(known)?;
-            let listed = Listed { address, since_ms: endpoint.since_ms, ready: phase == Phase::Ready };
-            let before = core.listed.insert(id, listed);
+            let (since_ms, ready) = (endpoint.since_ms, phase == Phase::Ready);
+            let before = core.listed.insert(id, Listed { address, zone, since_ms, ready });
             if before.is_some_and(|before| before.since_ms != endpoint.since_ms) {
                 // Its process is a new one; the old one took its connections along.
-                core.kept.remove(&id);
+                self.pool.close(id);
             }
         }
         let weight = endpoint.weight;
         Some(Member {
             id,
-            zone: self.names.zones.get(&endpoint.zone).copied().map(ZoneId),
+            zone,
             kind: self.names.kinds.get(&endpoint.kind).copied().map(KindId),
             cell: endpoint.group,
             phase,
@@ -635,9 +523,7 @@
                 took: Duration::ZERO,
                 load: None,
             }),
-            Action::DropIdle { upstream } => {
-                core.kept.remove(&upstream);
-            }
+            Action::DropIdle { upstream } => self.pool.close_idle(upstream),
             Action::WakeAfter(span) => {
                 let driver = Rc::clone(self);
                 spawn_local(async move {
@@ -681,7 +567,7 @@
         held.out += 1;
         let (address, call) = (listed.address, Rc::clone(&held.call));
         let begin_by = begin_within.map(|span| asked + span);
-        let job = Job { request, attempt, upstream, address, call, asked, begin_by, until };
+        let job = Job { request, attempt, upstream, address, call, asked, begin_by, until, last: false };
         spawn_local(upstream::attempt(Rc::clone(self), job, withdrawn));
     }
 }
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -5,10 +5,12 @@
 //! borrowed across an await.
 
 pub mod config;
+pub mod connection;
 pub mod counters;
 pub mod discovery;
 pub mod driver;
 pub mod log;
+pub mod pool;
 pub mod server;
 pub mod socket;
 pub mod trust;
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -120,7 +120,7 @@
 
 impl Callers {
     fn accept(self: &Rc<Self>, stream: TcpStream) {
-        if self.driver.crowded() {
+        if self.driver.pool().crowded() {
             self.make_room();
         }
         let link = Rc::new(Link {
@@ -136,7 +136,7 @@
         self.next.set(number + 1);
         self.links.borrow_mut().insert(number, Rc::clone(&link));
         // Counted from here on, or a burst of connections would not see itself.
-        let permit = self.driver.reserved_permit();
+        let permit = self.driver.pool().reserved_permit();
         let callers = Rc::clone(self);
         spawn_local(async move {
             connection(&callers, stream, &link).await;
@@ -148,7 +148,7 @@
     /// The next connection, once there is a descriptor for it that neither discovery nor an attempt may need. Nothing
     /// is lost if it is not waited for.
     async fn next(&self, listener: &TcpListener) -> io::Result<TcpStream> {
-        while self.driver.full() {
+        while self.driver.pool().full() {
             // A few at a time: each may take its moment to close.
             for _ in 0..EVICTED_TOGETHER {
                 self.make_room();
@@ -168,7 +168,7 @@
             link.evicted.set(true);
             link.close.notify_one();
         } else {
-            self.driver.drop_idle_most();
+            self.driver.pool().make_room();
         }
     }
 
@@ -283,7 +283,7 @@
     let socket = Socket::new(stream);
     if talk(callers, &socket, link).await == End::Closing {
         // Short of sockets it reads out what has come, and does not wait for more.
-        socket.close(if callers.driver.crowded() { Duration::ZERO } else { LINGER }).await;
+        socket.close(if callers.driver.pool().crowded() { Duration::ZERO } else { LINGER }).await;
     }
 }
 
@@ -306,13 +306,13 @@
         let last = callers.last.get();
         async move {
             // Its attempt wants a socket too, which callers that only stand by must not keep from it.
-            if driver.crowded() {
+            if driver.pool().crowded() {
                 callers.make_room();
             }
             let mut response = respond(driver, request, whole_by, last, &link.waiting).await;
             link.busy.set(false);
             link.since.set(Instant::now());
-            if *callers.phases.borrow() != Phase::Serving || driver.full() || socket.spilled() {
+            if *callers.phases.borrow() != Phase::Serving || driver.pool().full() || socket.spilled() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -419,7 +419,7 @@
     }
     let answer = match read(driver, request, whole_by).await {
         // No socket is left for an attempt either; nothing has run.
-        Ok(_) if driver.full() => Answer::Refused { retry_after: None },
+        Ok(_) if driver.pool().full() => Answer::Refused { retry_after: None },
         Ok(mut taken) => {
             taken.deadline = last.map_or(taken.deadline, |last| taken.deadline.min(last));
             waiting.set(true);
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -1,31 +1,23 @@
-//! Connections to upstreams and the attempts on them: what is sent, and what became of it.
+//! Attempts: what is sent to an upstream, and what became of it.
 
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
 use peathatch::interface::{AttemptNumber, LoadReport, Outcome, RequestId, UpstreamId};
 use peathatch_wirehost::setup;
-use thiserror::Error;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::driver::{Driver, Permit};
-use crate::socket::Socket;
+use crate::connection::Connection;
+use crate::driver::Driver;
+use crate::pool::{AcquireError, Host};
 
 /// Bytes of a body at most, either way.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -33,140 +25,6 @@
 /// reading the request to its end never is.
 const SETTLE: Duration = Duration::from_secs(1);
 
-/// Why there is no connection.
-#[derive(Debug, Error)]
-pub enum ConnectError {
-    /// The peer does not take it.
-    #[error("{0}")]
-    Failed(#[from] io::Error),
-    /// It did not come up in time.
-    #[error("it did not come up in time")]
-    TimedOut,
-    /// It broke as it came up.
-    #[error("{0}")]
-    Broken(#[from] hyper::Error),
-}
-
-/// Where to connect and how long to wait for it.
-#[derive(Debug, Clone, Copy)]
-pub struct Dial {
-    /// The address.
-    pub address: SocketAddr,
-    /// The longest wait.
-    pub patience: Duration,
-}
-
-/// An open connection. Dropping it closes the socket, whatever is still under way on it: an attempt that is
-/// no longer waited for must not come to its end unseen.
-#[derive(Debug)]
-pub struct Connection {
-    /// Sends a request.
-    pub sender: SendRequest<Full<Bytes>>,
-    /// Bytes that the socket has taken.
-    written: Rc<Cell<u64>>,
-    socket: Socket,
-    task: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-impl Connection {
-    /// Whether a request may go out on it: the last answer is through, and the peer has neither closed nor sent
-    /// anything since, which would pass for the next answer.
-    #[must_use]
-    pub fn is_free(&self) -> bool {
-        self.sender.is_ready() && self.socket.is_silent()
-    }
-}
-
-/// Opens a connection.
-///
-/// # Errors
-/// It does not come up.
-pub async fn connect(permit: Permit, dial: Dial) -> Result<Connection, ConnectError> {
-    let stream = timeout(dial.patience, TcpStream::connect(dial.address))
-        .await
-        .map_err(|_| ConnectError::TimedOut)??;
-    speak(stream, permit).await
-}
-
-/// Makes a connection of a socket that has come up.
-///
-/// # Errors
-/// It breaks as it comes up.
-pub async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, ConnectError> {
-    let socket = Socket::new(stream);
-    let written = Rc::new(Cell::new(0));
-    let io = Counted { socket: socket.clone(), written: Rc::clone(&written), _permit: permit };
-    let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
-    let task = tokio::task::spawn_local(async move {
-        // How it ends shows in the request that is out on it, if one is.
-        let _ = connection.await;
-    });
-    Ok(Connection { sender, written, socket, task: task.abort_handle() })
-}
-
-/// A socket that counts the bytes it has taken: what was never written whole never ran.
-struct Counted {
-    socket: Socket,
-    written: Rc<Cell<u64>>,
-    _permit: Permit,
-}
-
-impl Counted {
-    fn count(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        let bytes = ready!(done)?;
-        self.written.set(self.written.get() + bytes as u64);
-        Poll::Ready(Ok(bytes))
-    }
-}
-
-impl AsyncRead for Counted {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for Counted {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.socket).poll_write(context, bytes);
-        self.count(done)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.socket).poll_write_vectored(context, parts);
-        self.count(done)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-}
-
 /// What of a caller's request goes on to upstreams, the same in each attempt.
 #[derive(Debug)]
 pub struct Call {
@@ -242,6 +100,8 @@
     pub begin_by: Option<Instant>,
     /// When it is given up.
     pub until: Instant,
+    /// No other can follow: it waits for a connection for as long as the settings allow.
+    pub last: bool,
 }
 
 /// How an attempt ended.
@@ -253,11 +113,13 @@
     pub body: Option<Bytes>,
     /// The load report, if one came.
     pub load: Option<LoadReport>,
+    /// How long it had no connection, if it ever had one.
+    pub connecting: Option<Duration>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, body: None, load: None }
+        Self { outcome, body: None, load: None, connecting: None }
     }
 }
 
@@ -268,6 +130,8 @@
     written: RefCell<Option<Rc<Cell<u64>>>>,
     /// Bytes of the request.
     size: Cell<u64>,
+    /// How long the attempt had no connection.
+    connecting: Cell<Option<Duration>>,
 }
 
 impl Progress {
@@ -293,49 +157,64 @@
 /// Makes an attempt and tells the driver how it ended.
 pub async fn attempt(driver: Rc<Driver>, job: Job, withdrawn: oneshot::Receiver<()>) {
     let progress = Progress::default();
-    let exchange = exchange(&driver, &job, &progress);
-    let ended = tokio::select! {
-        biased;
-        done = timeout_at(job.until, exchange) => match done {
-            Ok(done) => Some(done),
-            // The exchange is dropped, and its connection closed with it.
-            Err(_) if progress.whole() => Some((Outcome::TimedOut.into(), None)),
-            // Closed before its last byte was written, it can't run any more.
-            Err(_) => Some((Outcome::ConnectFailed.into(), None)),
-        },
-        Ok(()) = withdrawn => Some((Outcome::Withdrawn.into(), None)),
+    let ended = match driver.host(job.upstream, job.address) {
+        Some(host) => {
+            let exchange = exchange(&driver, &job, &host, &progress);
+            tokio::select! {
+                biased;
+                done = timeout_at(job.until, exchange) => match done {
+                    Ok(done) => Some(done),
+                    // The exchange is dropped, and its connection closed with it.
+                    Err(_) if progress.whole() => Some((Outcome::TimedOut.into(), None)),
+                    Err(_) if progress.connecting.get().is_none() => {
+                        Some((Outcome::ConnectTimedOut.into(), None))
+                    }
+                    // Closed before its last byte was written, it can't run any more.
+                    Err(_) => Some((Outcome::ConnectFailed.into(), None)),
+                },
+                Ok(()) = withdrawn => Some((Outcome::Withdrawn.into(), None)),
+            }
+            .map(|(ended, connection)| (ended, connection.map(|connection| (host, connection))))
+        }
+        // It drained, or went, between the decision and now.
+        None => Some((Outcome::ConnectFailed.into(), None)),
     };
     let Some((ended, connection)) = ended else { return };
-    driver.attempt_ended(&job, ended);
+    driver.attempt_ended(&job, Ended { connecting: progress.connecting.get(), ..ended });
     // The answer goes out first; then the connection is made ready for the next request.
-    if let Some(mut connection) = connection
+    if let Some((host, mut connection)) = connection
         && let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await
     {
-        driver.keep(job.upstream, job.address, connection);
+        driver.pool().keep(&host, connection);
     }
 }
 
-async fn exchange(driver: &Rc<Driver>, job: &Job, progress: &Progress) -> (Ended, Option<Connection>) {
+async fn exchange(
+    driver: &Rc<Driver>,
+    job: &Job,
+    host: &Rc<Host>,
+    progress: &Progress,
+) -> (Ended, Option<Connection>) {
     loop {
-        let kept = driver.take_idle(job.upstream, job.call.once);
-        let (mut connection, idle) = match kept {
-            Some((connection, idle)) => (connection, Some(idle)),
-            None => {
-                let dial = Dial { address: job.address, patience: driver.connect_timeout() };
-                // Short of sockets is no fault of the upstream's.
-                let Some(permit) = driver.permit() else { return (Outcome::NotSent.into(), None) };
-                match connect(permit, dial).await {
-                    Ok(connection) => {
-                        driver.count_opened();
-                        (connection, None)
-                    }
-                    Err(error) => {
-                        driver.tell_unreached(job.address, &error);
-                        return (Outcome::ConnectFailed.into(), None);
-                    }
+        let acquired = driver.pool().acquire(host, job.call.once, job.last).await;
+        let (mut connection, idle) = match acquired {
+            Ok(acquired) => acquired,
+            Err(error) => {
+                let outcome = match error {
+                    AcquireError::NoSocket => Outcome::NotSent,
+                    AcquireError::TimedOut => Outcome::ConnectTimedOut,
+                    _ => Outcome::ConnectFailed,
+                };
+                if outcome != Outcome::NotSent {
+                    driver.tell_unreached(job.address, &error);
                 }
+                return (outcome.into(), None);
             }
         };
+        if idle.is_none() {
+            driver.count_opened();
+        }
+        progress.connecting.set(Some(job.asked.elapsed()));
         // While it connected, the upstream may have begun to drain, or gone: nothing new goes there.
         if !driver.may_send(job.upstream, job.address) {
             return (Outcome::ConnectFailed.into(), None);
@@ -391,7 +270,7 @@
         StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => Outcome::Rejected,
         _ => Outcome::Error,
     };
-    Some(Ended { outcome, body: (outcome == Outcome::Good).then_some(body), load })
+    Some(Ended { body: (outcome == Outcome::Good).then_some(body), load, ..outcome.into() })
 }
 
 /// Reads `name=value,name=value`.
--- a/dahliahead/tests/sending.rs
+++ b/dahliahead/tests/sending.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dahliahead::driver::Permit;
-use dahliahead::upstream::{Call, Progress, size_on_wire, speak};
+use dahliahead::connection::{Permit, speak};
+use dahliahead::upstream::{Call, Progress, size_on_wire};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::header::HeaderValue;
