Tell late connections apart from upstreams that fail, are slow or are crowded

Change: latency and crowd are read from the time with a connection; a time-out behind a late connection is a sample of what the upstream had, and none of its work where that was less than the usual time. A call that ends on connect timeouts is a crowd only where three in a row do and nobody has answered for 2 s: by the 2 s alone a copy that sees a call every few seconds cut its limit. Three connect timeouts of an upstream in a row, and each three more, set it aside; an answer or a connection ends that, and the first time the upstream still counts as part of the tier. A refusal after a connect timeout is one refusal. The connections are counted; reroutes are paid as before. Half a tier out of reach is left as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -88,6 +88,9 @@
 const ASIDE_MOST: f64 = 0.34;
 /// Seconds set aside at first, and at most; doubled when a return fails.
 const ASIDE_S: (f64, f64) = (1.5, 12.0);
+/// Connect timeouts of an upstream, with neither an answer nor a connection between them, that show it out of reach:
+/// where a third of all connections come up late, two in a row are chance 1 time in 9, three 1 in 27.
+const LATE_IN_A_ROW: u32 = 3;
 /// Part of its usual chance with which an upstream returns; doubled by each good answer.
 const RETURN_AT: f64 = 0.1;
 /// An upstream that owes answers and has been silent for this many usual latencies is stalled...
@@ -396,6 +399,8 @@
     /// Latest answer, or the send that ended an idle time.
     heard: f64,
     failures: f64,
+    /// Connect timeouts since its latest answer or connection.
+    late_connects: u32,
     /// Latency over the usual of its classes, and the latencies learned from.
     slowness: f64,
     measured: f64,
@@ -420,6 +425,7 @@
             used: now,
             heard: now,
             failures: 0.0,
+            late_connects: 0,
             slowness: 1.0,
             measured: 0.0,
             aside_until: 0.0,
@@ -434,6 +440,14 @@
         self.listed && self.member.phase == Phase::Ready
     }
 
+    /// It is within reach: what connect timeouts alone made of it is over.
+    fn reached(&mut self) {
+        if self.late_connects >= LATE_IN_A_ROW && self.failures < FAIL_OVER.0 {
+            (self.aside_until, self.aside_s, self.returning) = (0.0, ASIDE_S.0, 1.0);
+        }
+        self.late_connects = 0;
+    }
+
     /// The part of its capacity that it surely has: it rises at least evenly from the cold share.
     fn warmth(&self, now: f64, settings: &Settings) -> f64 {
         let Some(started) = self.member.started else { return 1.0 };
@@ -453,6 +467,13 @@
         self.in_flight < open && (self.in_flight > 0 || now - self.used < allowed.keepalive.as_secs_f64())
     }
 
+    /// Counts a connection more; those that nobody used for long have been closed.
+    fn opened(&mut self, now: f64, allowed: &Allowed) {
+        let lapsed = self.in_flight == 0 && now - self.used >= allowed.keepalive.as_secs_f64();
+        self.connections = if lapsed { 1 } else { self.connections.saturating_add(1) };
+        self.used = now;
+    }
+
     /// What another attempt would meet: own calls in flight, and a handshake where no connection has room.
     fn cost(&self, now: f64, settings: &Settings) -> f64 {
         let handshake = settings.prices.handshake > 0.0 && !self.has_room(now, &settings.allowed);
@@ -472,6 +493,14 @@
     withdrawn: bool,
 }
 
+/// How an attempt ended, after how long, and for how long of that it had a connection.
+#[derive(Debug, Clone, Copy)]
+struct Ending {
+    outcome: Outcome,
+    took: f64,
+    served: f64,
+}
+
 #[derive(Debug, Default)]
 struct Entry {
     class: ClassId,
@@ -479,6 +508,8 @@
     arrived: f64,
     deadline: f64,
     attempts: Vec<Attempt>,
+    /// Time that they spent without a connection.
+    connecting: f64,
     out: u32,
     closed: bool,
     streaming: bool,
@@ -561,6 +592,8 @@
     /// and of the next at the earliest.
     crowding: (f64, f64),
     drops: (f64, f64),
+    /// Time of the latest answer of any upstream, and the calls since that ended with no connection.
+    answered: (f64, u32),
     tier_failures: f64,
     tier_slowness: f64,
     /// Slowness of each kind of machine and, last, of those of no known kind: what is expected of an upstream
@@ -602,6 +635,7 @@
             ready: Vec::new(),
             crowding: (0.0, 0.0),
             drops: (0.0, 0.0),
+            answered: (f64::MIN, 0),
             tier_failures: 0.0,
             tier_slowness: 1.0,
             kind_slowness: vec![1.0; settings.kinds + 1],
@@ -632,13 +666,20 @@
                     entry.withdraw(request, Some(attempt), actions);
                 }
             }
-            Event::AttemptEnded { request, attempt, outcome, took, finished, .. } => {
-                let took = took.as_secs_f64();
-                self.attempt_ended(now, request, attempt, outcome, took, finished, actions);
+            Event::AttemptEnded { request, attempt, outcome, took, connecting, finished, .. } => {
+                let unconnected = if outcome == Outcome::ConnectTimedOut { took } else { connecting };
+                let served = took.saturating_sub(unconnected).as_secs_f64();
+                let end = Ending { outcome, took: took.as_secs_f64(), served };
+                self.attempt_ended(now, request, attempt, end, finished, actions);
+            }
+            Event::Connected(upstream) => {
+                let Some(&slot) = self.slots.get(&upstream) else { return };
+                self.upstreams[slot].opened(now, &self.settings.allowed);
+                self.upstreams[slot].reached();
             }
             Event::ClientLeft(request) => self.close(request, actions),
             Event::Wake => self.sweep(now, actions),
-            Event::Probed { .. } | Event::Message { .. } | Event::Connected(_) => {}
+            Event::Probed { .. } | Event::Message { .. } => {}
         }
     }
 
@@ -949,8 +990,7 @@
             upstream.heard = now;
         }
         if !upstream.has_room(now, &self.settings.allowed) {
-            let open = if upstream.in_flight > 0 { upstream.connections } else { 0 };
-            upstream.connections = open + 1;
+            upstream.opened(now, &self.settings.allowed);
         }
         upstream.used = now;
         upstream.in_flight += 1;
@@ -991,17 +1031,16 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
     fn attempt_ended(
         &mut self,
         now: f64,
         id: RequestId,
         number: AttemptNumber,
-        outcome: Outcome,
-        took: f64,
+        end: Ending,
         finished: bool,
         actions: &mut Vec<Action>,
     ) {
+        let outcome = end.outcome;
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
         let attempt = entry.attempts.get_mut(number.0 as usize);
         let Some(attempt) = attempt.filter(|attempt| attempt.ended.is_none()) else { return };
@@ -1009,9 +1048,12 @@
         attempt.ended = Some(outcome);
         entry.out -= 1;
         self.subset.in_flight = self.subset.in_flight.saturating_sub(1);
-        let (class, tenant, arrived) = (entry.class, entry.tenant, entry.arrived);
+        entry.connecting += end.took - end.served;
+        let Entry { class, tenant, arrived, connecting, .. } = *entry;
+        let mut earlier = entry.attempts[..number.0 as usize].iter();
+        let turned_away = earlier.any(|attempt| attempt.ended != Some(Outcome::ConnectTimedOut));
         let (closed, idle) = (entry.closed || finished, entry.out == 0);
-        self.learn_outcome(now, slot, class, outcome, took);
+        self.learn_outcome(now, slot, class, end);
         if closed {
             self.close(id, actions);
         }
@@ -1022,9 +1064,9 @@
         // A call that was turned away and went elsewhere has met no crowd yet: behind a broken link or one
         // full server the tenant's limit would drop although its calls are served. Refusals by two servers in
         // a row are a crowd.
-        let refusals = outcome == Outcome::Refused && number.0 > 0;
+        let refusals = outcome == Outcome::Refused && turned_away;
         if refusals || !(again && outcome.never_ran()) {
-            self.meet(now, class, tenant, outcome, took, arrived);
+            self.meet(now, class, tenant, end, arrived, connecting);
         }
     }
 
@@ -1040,7 +1082,8 @@
     }
 
     /// What an outcome tells of its upstream and of the zones.
-    fn learn_outcome(&mut self, now: f64, slot: usize, class: ClassId, outcome: Outcome, took: f64) {
+    fn learn_outcome(&mut self, now: f64, slot: usize, class: ClassId, end: Ending) {
+        let Ending { outcome, took, served } = end;
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1048,23 +1091,43 @@
         // A connection goes with what broke it and, where it carries one attempt at a time, with an answer
         // that is no longer waited for.
         let given_up = matches!(outcome, Outcome::TimedOut | Outcome::Withdrawn);
-        if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset)
-            || (given_up && self.settings.allowed.streams == 1)
-        {
+        let unreached = matches!(outcome, Outcome::ConnectFailed | Outcome::ConnectTimedOut);
+        let broken = unreached || outcome == Outcome::Reset;
+        if broken || (given_up && self.settings.allowed.streams == 1) {
             upstream.connections = upstream.connections.saturating_sub(1);
         }
-        let (home, warm) = (upstream.home, upstream.warmth(now, &self.settings) >= 1.0);
-        let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        let failed = match outcome {
-            Outcome::NotSent | Outcome::Withdrawn => return,
-            // It tells of the caller, not of the upstream.
-            Outcome::Rejected => return upstream.heard = now,
-            Outcome::Good | Outcome::Refused => false,
-            _ => true,
-        };
-        if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed) {
+        let heard = !unreached && !given_up && outcome != Outcome::NotSent;
+        if heard {
             upstream.heard = now;
+            self.answered = if broken { self.answered } else { (now, 0) };
+        }
+        if outcome == Outcome::ConnectTimedOut {
+            upstream.late_connects += 1;
+        } else if heard || (given_up && served > 0.0) {
+            upstream.reached();
         }
+        // A rejection tells of the caller, not of the upstream.
+        if matches!(outcome, Outcome::NotSent | Outcome::Withdrawn | Outcome::Rejected) {
+            return;
+        }
+        let warm = upstream.warmth(now, &self.settings) >= 1.0;
+        let aim = self.settings.classes[class.0].aim.as_secs_f64();
+        let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
+        let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
+        group.warm_served += u32::from(warm && outcome == Outcome::Good);
+        let delay = if crowded { took.max(aim) } else { took } / aim;
+        group.delay += DELAY_WEIGHT * (delay - group.delay);
+        // No work is told by a late connection, nor by a time-out before which it left less than the usual time.
+        if outcome == Outcome::ConnectTimedOut {
+            if upstream.late_connects.is_multiple_of(LATE_IN_A_ROW) {
+                self.set_aside(now, slot, true);
+            }
+            return;
+        }
+        if outcome == Outcome::TimedOut && served < took.min(usual) {
+            return;
+        }
+        let failed = !matches!(outcome, Outcome::Good | Outcome::Refused);
         upstream.failures += FAIL_WEIGHT * (f64::from(u8::from(failed)) - upstream.failures);
         // A failed connect is that upstream's own: behind a broken link, counting it for the tier would make
         // many lost upstreams look like crowding below, and none would be set aside.
@@ -1072,7 +1135,7 @@
             self.tier_failures += TIER_FAIL_WEIGHT * (f64::from(u8::from(failed)) - self.tier_failures);
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
-            let times = (took / usual).min(8.0);
+            let times = (served / usual).min(8.0);
             let kind = &mut self.kind_slowness[upstream.kind];
             if upstream.measured == 0.0 {
                 upstream.slowness = *kind;
@@ -1091,31 +1154,33 @@
                 upstream.aside_s = ASIDE_S.0;
             }
         } else if failed {
-            self.set_aside(now, slot, outcome == Outcome::ConnectFailed);
+            self.set_aside(now, slot, unreached);
         }
-        let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
-        let group = if home { &mut self.subset.home } else { &mut self.subset.away };
-        group.warm_served += u32::from(warm && outcome == Outcome::Good);
-        let delay = if crowded { took.max(aim) } else { took } / aim;
-        group.delay += DELAY_WEIGHT * (delay - group.delay);
     }
 
     /// What the end of a call tells of the crowd that it met, and so of the limits.
-    fn meet(&mut self, now: f64, class: ClassId, tenant: usize, outcome: Outcome, took: f64, arrived: f64) {
-        let late = now - arrived > self.settings.classes[class.0].aim.as_secs_f64();
+    fn meet(&mut self, now: f64, class: ClassId, tenant: usize, end: Ending, arrived: f64, connecting: f64) {
+        let Ending { outcome, served, .. } = end;
+        let late = now - arrived - connecting > self.settings.classes[class.0].aim.as_secs_f64();
+        self.answered.1 += u32::from(outcome == Outcome::ConnectTimedOut);
+        let silent = now - self.answered.0 > CROWDING_S && self.answered.1 >= LATE_IN_A_ROW;
         let bad = match outcome {
             Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed => true,
+            // Late connections tell nothing of a tier that answers others.
+            Outcome::ConnectTimedOut if silent => true,
             Outcome::Error => self.tier_failures > CROWDED_ERRORS,
             Outcome::Good => late,
             _ => return,
         };
-        let sample = if bad {
-            CROWDED_MOST
-        } else if outcome == Outcome::Good && self.settings.tier == 0 {
+        let latency = self.latencies[class.0];
+        let slower = served.max(1e-4).ln() - latency.typical;
+        let sample = match outcome {
+            // The upstreams had less than the whole time.
+            Outcome::TimedOut if connecting > 0.0 && latency.known > 0.0 => slower.clamp(0.0, CROWDED_MOST),
+            _ if bad => CROWDED_MOST,
             // Shed early at the first tier only: a call denied below is work lost above.
-            (took.max(1e-4).ln() - self.latencies[class.0].typical).clamp(-1.0, CROWDED_MOST)
-        } else {
-            0.0
+            Outcome::Good if self.settings.tier == 0 => slower.clamp(-1.0, CROWDED_MOST),
+            _ => 0.0,
         };
         // The tenants meet the same tier: a small one's own calls are too few to tell of a jam in time.
         let all = self.settings.tenants.len();
@@ -1127,10 +1192,10 @@
         self.crowding.0 += weight * off;
         // Of the few calls of one of many copies, chance alone makes a crowd: one is met only beyond that of the
         // calls and of the usual latency, which a fresh copy has from few.
-        let few = weight / (2.0 - weight) + 1.0 / self.latencies[class.0].known.max(1.0);
+        let few = weight / (2.0 - weight) + 1.0 / latency.known.max(1.0);
         let crowded = self.crowding.0 - CHANCE * (self.crowding.1 * few).sqrt() > CROWDED;
         if outcome == Outcome::Good {
-            self.latencies[class.0].learn(took.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
+            self.latencies[class.0].learn(served.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
         }
         if crowded && now >= self.drops.1 {
             self.drops = (now, now + between(&mut self.rng, DROP_EVERY_S));
@@ -1151,7 +1216,8 @@
     fn set_aside(&mut self, now: f64, slot: usize, out_of_reach: bool) {
         let upstream = &self.upstreams[slot];
         let tier = if out_of_reach { 0.0 } else { FAIL_OVER.1 * self.tier_failures };
-        if upstream.failures < FAIL_OVER.0 + tier || upstream.aside_until > now {
+        let stays = upstream.failures < FAIL_OVER.0 + tier && upstream.late_connects < LATE_IN_A_ROW;
+        if stays || upstream.aside_until > now {
             return;
         }
         let group = if upstream.home { &self.subset.home } else { &self.subset.away };
@@ -1184,7 +1250,9 @@
         // Quotas are parts of a whole tier: while some is gone, cold or set aside, the rest would choke.
         let has = |&slot: &usize| {
             let upstream = &self.upstreams[slot];
-            if upstream.aside_until > now { 0.0 } else { upstream.warmth(now, &self.settings) }
+            // The first time that connect timeouts put it aside a connection that is just late comes up.
+            let late = upstream.late_connects >= LATE_IN_A_ROW && upstream.aside_s <= ASIDE_S.0 * 2.0;
+            if upstream.aside_until > now && !late { 0.0 } else { upstream.warmth(now, &self.settings) }
         };
         let Subset { home, away, first, size, .. } = &self.subset;
         let part = home.members.iter().chain(&*away.members).map(has).sum::<f64>() / (*size).max(1) as f64;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,6 +33,8 @@
 pub struct Bench {
     pub balancer: Balancer,
     pub now: Duration,
+    /// How long clients wait.
+    pub time_left: Duration,
     next_id: u64,
     next_wake: Duration,
 }
@@ -43,7 +45,7 @@
         let mut actions = Vec::new();
         balancer.handle(START, Event::Started, &mut actions);
         balancer.handle(START, Event::List(ListUpdate::Whole(members)), &mut actions);
-        Self { balancer, now: START, next_id: 0, next_wake: START }
+        Self { balancer, now: START, time_left: millis(3000), next_id: 0, next_wake: START }
     }
 
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
@@ -76,7 +78,7 @@
             class: ClassId(0),
             tenant: tenant.map(TenantId),
             key: None,
-            time_left: millis(3000),
+            time_left: self.time_left,
             expected_work: None,
             repeat: false,
         };
@@ -84,12 +86,24 @@
     }
 
     pub fn end(&mut self, request: RequestId, number: u32, outcome: Outcome, took: Duration) -> Vec<Action> {
+        self.end_late(request, number, outcome, took, Duration::ZERO)
+    }
+
+    /// Ends an attempt that had no connection for `connecting` of the time it took.
+    pub fn end_late(
+        &mut self,
+        request: RequestId,
+        number: u32,
+        outcome: Outcome,
+        took: Duration,
+        connecting: Duration,
+    ) -> Vec<Action> {
         self.tell(Event::AttemptEnded {
             request,
             attempt: AttemptNumber(number),
             outcome,
             took,
-            connecting: Duration::ZERO,
+            connecting,
             finished: outcome == Outcome::Good,
             load: None,
         })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,6 +37,10 @@
         stale: bool,
     },
     Broken,
+    /// A connection comes up late.
+    Connected {
+        upstream: u32,
+    },
 }
 
 fn outcome() -> impl Strategy<Value = Outcome> {
@@ -45,6 +49,7 @@
         2 => Just(Outcome::Error),
         2 => Just(Outcome::Refused),
         1 => Just(Outcome::ConnectFailed),
+        1 => Just(Outcome::ConnectTimedOut),
         1 => Just(Outcome::Reset),
         1 => Just(Outcome::NotSent),
         1 => Just(Outcome::Rejected),
@@ -62,6 +67,7 @@
             .prop_map(|(upstream, phase, restarted)| Step::Change { upstream, phase, restarted }),
         1 => (0u32..9, any::<bool>()).prop_map(|(keep, stale)| Step::Replace { keep, stale }),
         1 => Just(Step::Broken),
+        1 => (0u32..10).prop_map(|upstream| Step::Connected { upstream }),
     ]
 }
 
@@ -309,6 +315,7 @@
                 self.tell(Event::List(ListUpdate::Patch(vec![member])));
             }
             Step::Replace { keep, stale } => self.replace((0..keep).map(member).collect(), stale),
+            Step::Connected { upstream } => self.tell(Event::Connected(UpstreamId(upstream))),
             Step::Broken => {
                 if self.settings.discovery == DiscoveryMode::Subscribe {
                     self.unasked.get_or_insert(self.now);
@@ -478,6 +485,7 @@
     }
     let odd = Event::Probed { upstream: UpstreamId(99), outcome: Outcome::Good, took: millis(1), load: None };
     balancer.handle(START, odd, &mut actions);
+    balancer.handle(START, Event::Connected(UpstreamId(99)), &mut actions);
     assert!(actions.iter().all(|action| matches!(action, Action::Withdraw { .. })));
 }
 
