Let the crowd that a flooded limit remembers fade while nobody is let in

Cause: a limit at its floor under callers that come again at once meets the hard limit. Change: while all calls of a window are denied under the hard limit, the crowding fades with its own time (2 s). The new test was seen to fail without it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1238,6 +1238,8 @@
         if self.settings.discovery != DiscoveryMode::Push && now >= self.discovery.ask_at {
             self.subscribe(now, actions);
         }
+        let unmet = self.suppressors.last_mut().is_some_and(|all| all.accepted_rate(now) == 0.0);
+        let faded = self.crowding.0 * if unmet { 1.0 - SWEEP_S / CROWDING_S } else { 1.0 };
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
             let accepted = suppressor.accepted_rate(now);
             limit.usual += 0.02 * (accepted - limit.usual);
@@ -1245,6 +1247,8 @@
             let cut = limit.quota.is_none_or(|quota| limit.rate < quota);
             if cut && accepted == 0.0 && suppressor.is_over(limit.rate) {
                 limit.rate *= REOPEN;
+                // Nor do they tell that the crowd of a window ago still stands.
+                self.crowding.0 = faded;
             }
         }
         // Quotas are parts of a whole tier: while some is gone, cold or set aside, the rest would choke.
--- a/tests/late_connections.rs
+++ b/tests/late_connections.rs
@@ -491,3 +491,43 @@
     });
     assert!(lost < 15, "{lost} with a connection that was lost");
 }
+
+/// The second from which on most of a copy's fair part is let in again, over any six seconds, of callers that come
+/// `times` as often and find their upstreams at ease, after these had answered nobody for a while.
+fn seconds_to_open(quota: bool, part: f64, times: f64) -> usize {
+    let mut settings = settings(2, part);
+    if !quota {
+        settings.tenants = vec![Tenant { quota: None }];
+    }
+    let mut world = World::new(settings, 5, 8, millis(12));
+    world.run(part, 30, idle);
+    world.run(part * 3.0, 15, |_, _| (Some(Duration::ZERO), Outcome::TimedOut, millis(10)));
+    let served: Vec<u32> = (0..50).map(|_| world.run(part * times, 1, idle).served).collect();
+    // Under a hard limit calls come in bursts.
+    let shut = |seconds: &[u32]| f64::from(seconds.iter().sum::<u32>()) < 0.7 * 6.0 * part;
+    served.windows(6).rposition(shut).map_or(0, |at| at + 1)
+}
+
+/// Found on days with late connections: cut limits stayed at their floors under callers that came again at once, as
+/// calls denied whole teach nothing and the few let in between met the crowd of long before.
+#[test]
+fn a_limit_at_its_floor_opens_within_seconds_once_what_is_let_in_succeeds() {
+    for (quota, part, times) in [
+        (true, 10.0, 1.0),
+        (true, 60.0, 1.0),
+        (true, 10.0, 10.0),
+        (true, 60.0, 10.0),
+        (true, 10.0, 25.0),
+        (true, 60.0, 25.0),
+        (false, 10.0, 25.0),
+        (false, 60.0, 25.0),
+        (false, 10.0, 60.0),
+        (false, 60.0, 60.0),
+    ] {
+        let seconds = seconds_to_open(quota, part, times);
+        assert!(
+            seconds <= 10,
+            "quota {quota}, {part}/s, {times} times as many calls: open after {seconds} s"
+        );
+    }
+}
