Let the time that a request has left decide whether it goes out and what its time-out tells

Ruled out: queues (0 to 1 waiting), the wait for connections (told apart before). Change: a time-out of less than the aim counts for the time it waited over the usual, and for nothing below it; a request with less than the usual time left goes out by the chance of that part, before it takes room in a limit; an attempt that none can follow is told to wait for its connection as long as the settings allow. Room in the module by joining constants that belong together.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -493,8 +493,8 @@
 
     fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
         match action {
-            Action::Send { request, upstream, timeout, begin_within } => {
-                self.send(core, request, upstream, timeout, begin_within);
+            Action::Send { request, upstream, timeout, begin_within, last } => {
+                self.send(core, request, upstream, timeout, begin_within, last);
             }
             Action::Withdraw { request, attempt } => {
                 let held = core.requests.get_mut(&request);
@@ -542,6 +542,7 @@
         upstream: UpstreamId,
         timeout: Option<Duration>,
         begin_within: Option<Duration>,
+        last: bool,
     ) {
         let Some(held) = core.requests.get_mut(&request) else { return };
         let attempt = AttemptNumber(held.attempts.len() as u32);
@@ -567,7 +568,7 @@
         held.out += 1;
         let (address, call) = (listed.address, Rc::clone(&held.call));
         let begin_by = begin_within.map(|span| asked + span);
-        let job = Job { request, attempt, upstream, address, call, asked, begin_by, until, last: false };
+        let job = Job { request, attempt, upstream, address, call, asked, begin_by, until, last };
         spawn_local(upstream::attempt(Rc::clone(self), job, withdrawn));
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,18 +46,15 @@
 const EXCESS_COUNTS: f64 = 0.5;
 /// Standard deviations of chance allowed above a fair part or a crowd, so that few calls are not taken for many.
 const CHANCE: f64 = 1.0;
-/// Calls a second gained by a finish in time: about 5% a second at the limit.
-const RISE: f64 = 0.05;
-/// The same below the fair part: about 15% a second, back from a quarter in ten seconds.
-const RISE_BELOW: f64 = 0.15;
+/// Calls a second gained by a finish in time, about 5% a second at the limit, and below the fair part, about 15% a
+/// second: back from a quarter in ten seconds.
+const RISE: (f64, f64) = (0.05, 0.15);
 /// What a sweep makes of a cut limit while all calls are denied: about 30% a second.
 const REOPEN: f64 = 1.05;
-/// What a drop leaves of the limit.
-const DROP: f64 = 0.85;
+/// What a drop leaves of the limit, and what in a jam: servers choke within seconds.
+const DROP: (f64, f64) = (0.85, 0.7);
 /// Seconds between drops, at least and at most: drawn, so that copies do not cut together.
 const DROP_EVERY_S: (f64, f64) = (0.25, 0.5);
-/// What a drop leaves of the limit in a jam: servers choke within seconds.
-const DROP_JAMMED: f64 = 0.7;
 /// Crowding in a jam, at which the floor has given way...
 const JAMMED: f64 = 0.7;
 /// ...to this part of the fair part: what a choked tier can still serve.
@@ -67,11 +64,9 @@
 const FLOOR_UNQUOTED: f64 = 0.7;
 /// Least part of a tier that counts as had: more set aside is a trouble of the tier, no loss of servers.
 const HAD_LEAST: f64 = 0.5;
-/// Aims by which calls of the own zone must take longer than elsewhere before any leave it: over the noise of
-/// some twenty calls...
-const WORSE: f64 = 0.03;
-/// ...and for each point of price of a crossing.
-const WORSE_PRICE: f64 = 0.5;
+/// Aims by which calls of the own zone must take longer than elsewhere before any leave it, over the noise of some
+/// twenty calls, and for each point of price of a crossing.
+const WORSE: (f64, f64) = (0.03, 0.5);
 /// What a sweep adds to the part of the calls that stays in the own zone, or takes off it.
 const STAY_STEPS: (f64, f64) = (0.004, 0.03);
 /// Copies that cover each upstream, on average.
@@ -80,8 +75,8 @@
 const SUBSET_LEAST: usize = 8;
 /// Weight of one outcome in an upstream's failure share: the second in a row stands out.
 const FAIL_WEIGHT: f64 = 0.2;
-/// Weight of one outcome in the tier's failure share.
-const TIER_FAIL_WEIGHT: f64 = 0.02;
+/// Weight of one outcome in the tier's failure share, and of one latency in its slowness.
+const TIER_WEIGHT: f64 = 0.02;
 /// An upstream whose failure share is over this and over the tier's by the multiple is set aside.
 const FAIL_OVER: (f64, f64) = (0.3, 2.0);
 /// Largest part of a group of upstreams set aside at a time: the rest must carry the load.
@@ -93,10 +88,8 @@
 const LATE_IN_A_ROW: u32 = 3;
 /// Part of its usual chance with which an upstream returns; doubled by each good answer.
 const RETURN_AT: f64 = 0.1;
-/// An upstream that owes answers and has been silent for this many usual latencies is stalled...
-const STALL_TIMES: f64 = 3.0;
-/// ...and for this many seconds at least.
-const STALL_S: f64 = 0.25;
+/// An upstream that owes answers and has been silent for this many usual latencies, and seconds, is stalled.
+const STALL: (f64, f64) = (3.0, 0.25);
 /// Weight of one latency in an upstream's slowness.
 const SLOW_WEIGHT: f64 = 0.15;
 /// Weight of one latency in the slowness of its kind of machine: known after some ten calls, when single
@@ -105,8 +98,6 @@
 /// Largest slowness of one call that a kind is charged with: a kind that crashed or choked must not keep its
 /// restarted upstreams without calls.
 const KIND_SLOW_MOST: f64 = 2.0;
-/// Weight of one latency in the tier's slowness.
-const TIER_SLOW_WEIGHT: f64 = 0.02;
 /// Least chance of a slow upstream: it must be seen to recover.
 const SLOW_CHANCE: f64 = 0.05;
 /// Weight of one call in a group's delay.
@@ -115,33 +106,29 @@
 const REPEATS: (f64, f64) = (0.1, 10.0);
 /// Further attempts per request after one proved not to have run, and the most saved up.
 const REROUTES: (f64, f64) = (0.5, 20.0);
-/// Seconds of calls in the share that met crowding: servers choke within two.
-const CROWDING_S: f64 = 2.0;
-/// Weight of one call in that share, at most.
-const CROWDING_WEIGHT: f64 = 0.15;
+/// Seconds of calls in the share that met crowding, as servers choke within two, and the weight of one at most.
+const CROWDING: (f64, f64) = (2.0, 0.15);
 /// Weight of a call let in before the latest drop, in parts of a fresh one's: only slow ones are left to end, few
 /// fresh ones beside them, and a drop would call for the next. Not none: in a jam fresh calls end too late.
 const BEFORE_DROP: f64 = 0.3;
 /// Crowding from which a limit drops.
 const CROWDED: f64 = 0.2;
-/// Seconds over which the typical latency of a class is learned: a crowd must not become the custom...
-const TYPICAL_S: f64 = 20.0;
-/// ...and the weight of one call in it, at most.
-const TYPICAL_STEP: f64 = 0.02;
+/// Seconds over which the typical latency of a class is learned, as a crowd must not become the custom, and the
+/// weight of one call in it at most.
+const TYPICAL: (f64, f64) = (20.0, 0.02);
 /// Crowding of a call that failed or came late; of others it is how often the typical latency doubled, more
 /// or less (a natural logarithm), so that a few heavy calls count little and a general delay much.
 const CROWDED_MOST: f64 = 2.0;
+/// Part of the aim from which a time-out is taken for one of the whole: the rest may go to connections.
+const WHOLE: f64 = 0.9;
 /// Tier failure share from which an error counts as crowding below and not as a bad upstream.
 const CROWDED_ERRORS: f64 = 0.1;
-/// Seconds that an attempt must have left to be worth sending.
+/// Seconds that an attempt must have left: a time-out at the deadline may be off by a rounding.
 const LEAST_S: f64 = 0.001;
 /// Seconds between sweeps.
 const SWEEP_S: f64 = 0.2;
 /// Pairs drawn at most, until one member is no busier than the average.
 const PAIRS: usize = 4;
-/// Own calls in flight that a handshake counts for in the pick, where handshakes have a price: a copy that
-/// sees few calls then uses few of its members, over connections that stay fresh.
-const HANDSHAKE: f64 = 1.0;
 /// Draws for each of the two candidates.
 const DRAWS: usize = 6;
 /// Seconds before a failed subscription is tried again, at first.
@@ -279,7 +266,7 @@
 
     fn rise(&mut self) {
         // Below the fair part the calls denied are the ones that count: come back from a jam faster.
-        let rise = if self.quota.is_some_and(|quota| self.rate < quota) { RISE_BELOW } else { RISE };
+        let rise = if self.quota.is_some_and(|quota| self.rate < quota) { RISE.1 } else { RISE.0 };
         self.rate = (self.rate + rise).min(self.ceiling);
     }
 
@@ -294,7 +281,7 @@
         let jam = ((crowding - CROWDED) / (JAMMED - CROWDED)).min(1.0);
         let part = 1.0 - (1.0 - FLOOR_JAMMED) * jam;
         let floor = self.quota.map_or((self.usual * FLOOR_UNQUOTED).max(1.0), |quota| quota * part);
-        let drop = DROP + (DROP_JAMMED - DROP) * jam;
+        let drop = DROP.0 + (DROP.1 - DROP.0) * jam;
         self.rate = (self.rate.min(accepted.max(floor)) * drop).max(floor).min(self.rate);
     }
 }
@@ -353,7 +340,7 @@
     fn learn_stay(&mut self, price: f64, rng: &mut Rand64) {
         let even = self.even();
         let Some(stay) = &mut self.stay else { return };
-        let worse = self.home.delay > self.away.delay + WORSE + price * WORSE_PRICE;
+        let worse = self.home.delay > self.away.delay + WORSE.0 + price * WORSE.1;
         let step = if worse { -STAY_STEPS.1 } else { STAY_STEPS.0 };
         *stay = (*stay + step * between(rng, (0.5, 1.5))).clamp(even.min(1.0), 1.0);
     }
@@ -458,7 +445,7 @@
     }
 
     fn stalled(&self, now: f64, usual: f64) -> bool {
-        self.in_flight > 0 && now - self.heard > (usual * STALL_TIMES).max(STALL_S)
+        self.in_flight > 0 && now - self.heard > (usual * STALL.0).max(STALL.1)
     }
 
     /// Whether an open connection has room for another attempt.
@@ -474,10 +461,11 @@
         self.used = now;
     }
 
-    /// What another attempt would meet: own calls in flight, and a handshake where no connection has room.
-    fn cost(&self, now: f64, settings: &Settings) -> f64 {
+    /// Own calls in flight that another attempt would meet, and one for a handshake with a price: a copy that sees few
+    /// calls then uses few of its members, over connections that stay fresh.
+    fn cost(&self, now: f64, settings: &Settings) -> u32 {
         let handshake = settings.prices.handshake > 0.0 && !self.has_room(now, &settings.allowed);
-        f64::from(self.in_flight) + if handshake { HANDSHAKE } else { 0.0 }
+        self.in_flight + u32::from(handshake)
     }
 }
 
@@ -553,7 +541,7 @@
         self.known += 1.0;
         let over = took.ln() - self.typical;
         // Both ways alike: a crowd that taught mostly short times would outlast itself.
-        let step = if crowded { step / 10.0 } else { step }.min(TYPICAL_STEP);
+        let step = if crowded { step / 10.0 } else { step }.min(TYPICAL.1);
         // The first call is taken whole.
         let most = if self.known > 1.0 { 1.0 } else { f64::MAX };
         self.typical += step.max(1.0 / self.known) * over.clamp(-most, most);
@@ -812,7 +800,7 @@
             ..Entry::default()
         };
         self.ledger.entries.insert(request.id, entry);
-        if !self.admit(now, tenant) {
+        if !self.admit(now, request.id, tenant) {
             return self.finish(request.id, false, actions);
         }
         // Only admitted calls earn further attempts: a storm of denied ones must not pay for them.
@@ -826,14 +814,15 @@
 
     /// A tenant over its fair part must also find room in what all tenants of this copy may send: the chance
     /// allowed to each of many small limits, over all copies, would add up to more than the tier.
-    fn admit(&mut self, now: f64, tenant: usize) -> bool {
+    fn admit(&mut self, now: f64, id: RequestId, tenant: usize) -> bool {
+        let hopeful = self.is_hopeful(now, id);
         let Self { suppressors, limits, rng, subset: Subset { had, .. }, .. } = self;
         let all = limits.len() - 1;
         // Each tenant's part of what they may send together is its own.
         let rate = limits[all].rate * *had;
         let level = (rate / limits[all].fair).min(1.0);
         let own = suppressors[tenant].fits(now, limits[tenant].fair * level, rng);
-        let mut admitted = suppressors[tenant].admit(now, limits[tenant].rate, rng);
+        let mut admitted = hopeful && suppressors[tenant].admit(now, limits[tenant].rate, rng);
         if admitted && all != tenant {
             admitted = own || suppressors[all].fits(now, rate, rng);
             suppressors[all].count(admitted);
@@ -842,6 +831,14 @@
         admitted
     }
 
+    /// Whether a request has the time that its class usually takes or, by chance, the part that it has suffices: what
+    /// can't end in time keeps others out, but were none of it sent, a usual time learned too long would stand.
+    fn is_hopeful(&mut self, now: f64, id: RequestId) -> bool {
+        let Some(entry) = self.ledger.entries.get(&id) else { return false };
+        let (left, usual) = (self.useful_until(entry) - now, self.latencies[entry.class.0].seconds());
+        left >= usual || left > usual * self.rng.rand_float()
+    }
+
     fn send_somewhere(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) -> bool {
         self.pick(now, id).is_some_and(|slot| self.send(now, id, slot, actions))
     }
@@ -899,7 +896,7 @@
                     best = Some(slot);
                 }
             }
-            if best.is_none_or(|best| self.upstreams[best].cost(now, &self.settings) <= average) {
+            if best.is_none_or(|best| f64::from(self.upstreams[best].cost(now, &self.settings)) <= average) {
                 break;
             }
         }
@@ -971,11 +968,9 @@
         let class = &self.settings.classes[entry.class.0];
         let upstream = &self.upstreams[slot];
         let timeout = self.useful_until(entry) - now;
-        // A time-out at the deadline, off by a rounding, must not send the request once more.
         if timeout < LEAST_S
             || entry.closed
             || entry.streaming
-            || now >= entry.deadline
             || !upstream.usable()
             || entry.attempts.len() >= self.settings.allowed.attempts as usize
             || (entry.out > 0 && !self.settings.allowed.second_copies)
@@ -997,11 +992,13 @@
         self.subset.in_flight += 1;
         upstream.tokens -= 1.0;
         let member = upstream.member;
+        let most = self.ready.len().min(self.settings.allowed.attempts as usize);
         let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt { slot, member, sent: now, ended: None, withdrawn: false });
         entry.out += 1;
+        let last = entry.attempts.len() >= most || self.ledger.budgets[1] < 1.0;
         let [timeout, begin_within] = [timeout, left].map(|span| Duration::try_from_secs_f64(span).ok());
-        actions.push(Action::Send { request: id, upstream: member.id, timeout, begin_within });
+        actions.push(Action::Send { request: id, upstream: member.id, timeout, begin_within, last });
         true
     }
 
@@ -1071,8 +1068,7 @@
     }
 
     fn try_again(&mut self, now: f64, id: RequestId, outcome: Outcome, actions: &mut Vec<Action>) -> bool {
-        let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let over = matches!(outcome, Outcome::NotSent | Outcome::Rejected) || now >= self.useful_until(entry);
+        let over = matches!(outcome, Outcome::NotSent | Outcome::Rejected) || !self.is_hopeful(now, id);
         let budget = usize::from(outcome.never_ran());
         if over || self.ledger.budgets[budget] < 1.0 || !self.send_somewhere(now, id, actions) {
             return false;
@@ -1124,7 +1120,7 @@
             }
             return;
         }
-        if outcome == Outcome::TimedOut && served < took.min(usual) {
+        if outcome == Outcome::TimedOut && served < usual {
             return;
         }
         let failed = !matches!(outcome, Outcome::Good | Outcome::Refused);
@@ -1132,7 +1128,7 @@
         // A failed connect is that upstream's own: behind a broken link, counting it for the tier would make
         // many lost upstreams look like crowding below, and none would be set aside.
         if outcome != Outcome::ConnectFailed {
-            self.tier_failures += TIER_FAIL_WEIGHT * (f64::from(u8::from(failed)) - self.tier_failures);
+            self.tier_failures += TIER_WEIGHT * (f64::from(u8::from(failed)) - self.tier_failures);
         }
         if usual > 0.0 && matches!(outcome, Outcome::Good | Outcome::TimedOut) {
             let times = (served / usual).min(8.0);
@@ -1146,7 +1142,7 @@
             if outcome == Outcome::Good {
                 *kind += KIND_SLOW_WEIGHT * (times.min(KIND_SLOW_MOST) - *kind);
             }
-            self.tier_slowness += TIER_SLOW_WEIGHT * (times - self.tier_slowness);
+            self.tier_slowness += TIER_WEIGHT * (times - self.tier_slowness);
         }
         if outcome == Outcome::Good {
             upstream.returning = (upstream.returning * 2.0).min(1.0);
@@ -1161,9 +1157,10 @@
     /// What the end of a call tells of the crowd that it met, and so of the limits.
     fn meet(&mut self, now: f64, class: ClassId, tenant: usize, end: Ending, arrived: f64, connecting: f64) {
         let Ending { outcome, served, .. } = end;
-        let late = now - arrived - connecting > self.settings.classes[class.0].aim.as_secs_f64();
+        let aim = self.settings.classes[class.0].aim.as_secs_f64();
+        let late = now - arrived - connecting > aim;
         self.answered.1 += u32::from(outcome == Outcome::ConnectTimedOut);
-        let silent = now - self.answered.0 > CROWDING_S && self.answered.1 >= LATE_IN_A_ROW;
+        let silent = now - self.answered.0 > CROWDING.0 && self.answered.1 >= LATE_IN_A_ROW;
         let bad = match outcome {
             Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed => true,
             // Late connections tell nothing of a tier that answers others.
@@ -1174,9 +1171,13 @@
         };
         let latency = self.latencies[class.0];
         let slower = served.max(1e-4).ln() - latency.typical;
+        // A time-out tells how long it took at least: nothing, where the upstream had less than the usual time.
+        let short = outcome == Outcome::TimedOut && latency.known > 0.0 && served < aim * WHOLE;
+        if short && slower < 0.0 {
+            return;
+        }
         let sample = match outcome {
-            // The upstreams had less than the whole time.
-            Outcome::TimedOut if connecting > 0.0 && latency.known > 0.0 => slower.clamp(0.0, CROWDED_MOST),
+            _ if short => slower.min(CROWDED_MOST),
             _ if bad => CROWDED_MOST,
             // Shed early at the first tier only: a call denied below is work lost above.
             Outcome::Good if self.settings.tier == 0 => slower.clamp(-1.0, CROWDED_MOST),
@@ -1186,7 +1187,7 @@
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
         let fresh = if arrived < self.drops.0 { BEFORE_DROP } else { 1.0 };
-        let weight = (1.0 / (rate * CROWDING_S)).min(CROWDING_WEIGHT) * fresh;
+        let weight = (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh;
         let off = sample - self.crowding.0;
         self.crowding.1 += weight * (off * off - self.crowding.1);
         self.crowding.0 += weight * off;
@@ -1195,7 +1196,7 @@
         let few = weight / (2.0 - weight) + 1.0 / latency.known.max(1.0);
         let crowded = self.crowding.0 - CHANCE * (self.crowding.1 * few).sqrt() > CROWDED;
         if outcome == Outcome::Good {
-            self.latencies[class.0].learn(served.max(1e-4), 1.0 / (rate * TYPICAL_S), crowded);
+            self.latencies[class.0].learn(served.max(1e-4), 1.0 / (rate * TYPICAL.0), crowded);
         }
         if crowded && now >= self.drops.1 {
             self.drops = (now, now + between(&mut self.rng, DROP_EVERY_S));
@@ -1239,7 +1240,7 @@
             self.subscribe(now, actions);
         }
         let unmet = self.suppressors.last_mut().is_some_and(|all| all.accepted_rate(now) == 0.0);
-        let faded = self.crowding.0 * if unmet { 1.0 - SWEEP_S / CROWDING_S } else { 1.0 };
+        let faded = self.crowding.0 * if unmet { 1.0 - SWEEP_S / CROWDING.0 } else { 1.0 };
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
             let accepted = suppressor.accepted_rate(now);
             limit.usual += 0.02 * (accepted - limit.usual);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -478,6 +478,8 @@
         timeout: Option<Duration>,
         /// Its first byte must be out within this; `None` for any time. Past it the attempt could repeat an effect.
         begin_within: Option<Duration>,
+        /// No other attempt can follow if it finds no connection: it waits for one as long as the settings allow.
+        last: bool,
     },
     /// Stop waiting on an attempt; its end is still reported.
     Withdraw {
