Let an attempt called off after long tell what it waited

Change: an attempt called off counts like a time-out of less than the aim: for the time it had over the usual. The new test fails without it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1162,7 +1162,7 @@
         self.answered.1 += u32::from(outcome == Outcome::ConnectTimedOut);
         let silent = now - self.answered.0 > CROWDING.0 && self.answered.1 >= LATE_IN_A_ROW;
         let bad = match outcome {
-            Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed => true,
+            Outcome::Refused | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Withdrawn => true,
             // Late connections tell nothing of a tier that answers others.
             Outcome::ConnectTimedOut if silent => true,
             Outcome::Error => self.tier_failures > CROWDED_ERRORS,
@@ -1171,8 +1171,8 @@
         };
         let latency = self.latencies[class.0];
         let slower = served.max(1e-4).ln() - latency.typical;
-        // A time-out tells how long it took at least: nothing, where the upstream had less than the usual time.
-        let short = outcome == Outcome::TimedOut && latency.known > 0.0 && served < aim * WHOLE;
+        // One given up tells how long it took at least: nothing, where the upstream had less than the usual time.
+        let short = outcome == Outcome::Withdrawn || outcome == Outcome::TimedOut && served < aim * WHOLE;
         if short && slower < 0.0 {
             return;
         }
--- a/tests/time_left.rs
+++ b/tests/time_left.rs
@@ -59,6 +59,37 @@
     assert!(slow < 0.9 && whole < 0.9, "{slow} of the slow calls admitted, {whole} of the others");
 }
 
+/// Found on a day on which clients left a full tier in a burst: what they had waited told nothing, as nobody answered it,
+/// and the limits stood for seconds. Leaving before the usual time tells nothing.
+#[test]
+fn callers_that_leave_after_long_tell_of_a_crowd() {
+    let admitted = |waited: u64| {
+        let mut bench = bench();
+        run(&mut bench, 100, 0, |_| 3000);
+        let mut went = 0;
+        for call in 0..400 {
+            bench.pass(millis(100));
+            let (id, actions) = bench.offer(Some(0));
+            if sent(&actions).is_some() {
+                went += 1;
+                let leaves = call % 2 == 0;
+                if leaves {
+                    bench.tell(peathatch::Event::ClientLeft(id));
+                }
+                let (outcome, took) =
+                    if leaves { (Outcome::Withdrawn, waited) } else { (Outcome::Good, USUAL_MS) };
+                bench.end(id, 0, outcome, millis(took));
+            }
+        }
+        f64::from(went) / 400.0
+    };
+    let (soon, long) = (admitted(USUAL_MS / 2), admitted(USUAL_MS * 4));
+    assert!(
+        soon > 0.98 && long < 0.9,
+        "{soon} admitted where callers leave soon, {long} where they waited for long"
+    );
+}
+
 /// Found on the same days: attempts with a few milliseconds left held the places of calls that could have ended.
 #[test]
 fn a_request_goes_out_by_the_chance_of_its_time_left() {
