Let an attempt wait for a sixteenth of the connect timeout at least, instead of an eighth

Change: the least wait is a sixteenth, so that the three or four attempts before a last one take a quarter of the connect timeout together.

--- a/dahliahead/src/pool.rs
+++ b/dahliahead/src/pool.rs
@@ -39,8 +39,9 @@
 /// Usual connect times that an attempt waits for its connection: as many deviations as TCP's own timer waits beyond
 /// its mean (RFC 6298).
 const PATIENCE_TIMES: f64 = 4.0;
-/// Least part of the settings' connect timeout that an attempt waits for: what a busy machine may add to a connect.
-const PATIENCE_LEAST: f64 = 0.125;
+/// Least part of the settings' connect timeout that an attempt waits for, as a busy machine adds to a connect: those of
+/// the three or four attempts before a request's last one take a quarter of it together.
+const PATIENCE_LEAST: f64 = 0.0625;
 /// Weight of one connect in the usual time: the gain of TCP's own timer.
 const CONNECT_WEIGHT: f64 = 0.125;
 
