Let the time that a call needs grow with the crowd that calls meet

Change: the time by which a request's chance is told is the usual one times e to the crowding, up to e times. The test of a further attempt now has other calls answered between, as its tier that answered nobody was a crowd itself; its bound stands. Room by a shorter comment.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,8 +95,7 @@
 /// Weight of one latency in the slowness of its kind of machine: known after some ten calls, when single
 /// upstreams are not yet.
 const KIND_SLOW_WEIGHT: f64 = 0.1;
-/// Largest slowness of one call that a kind is charged with: a kind that crashed or choked must not keep its
-/// restarted upstreams without calls.
+/// Largest slowness of one call that a kind is charged with, so that a crash leaves its restarted ones with calls.
 const KIND_SLOW_MOST: f64 = 2.0;
 /// Least chance of a slow upstream: it must be seen to recover.
 const SLOW_CHANCE: f64 = 0.05;
@@ -831,11 +830,12 @@
         admitted
     }
 
-    /// Whether a request has the time that its class usually takes or, by chance, the part that it has suffices: what
-    /// can't end in time keeps others out, but were none of it sent, a usual time learned too long would stand.
+    /// Whether a request has the time that its class takes, the longer the more of a crowd is met, or by chance the part
+    /// that it has suffices: what can't end in time keeps others out, but a usual time learned too long must not stand.
     fn is_hopeful(&mut self, now: f64, id: RequestId) -> bool {
         let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let (left, usual) = (self.useful_until(entry) - now, self.latencies[entry.class.0].seconds());
+        let left = self.useful_until(entry) - now;
+        let usual = self.latencies[entry.class.0].seconds() * self.crowding.0.clamp(0.0, 1.0).exp();
         left >= usual || left > usual * self.rng.rand_float()
     }
 
--- a/tests/time_left.rs
+++ b/tests/time_left.rs
@@ -103,6 +103,33 @@
     assert!(whole > 0.98, "{whole} of the others");
 }
 
+/// Found on days with a truly full tier: calls take longer there, and one with the usual time left is as hopeless.
+#[test]
+fn in_a_crowd_calls_need_more_than_the_usual_time() {
+    let mut bench = bench();
+    run(&mut bench, 100, 0, |_| 3000);
+    // Half time out at the whole aim; then those with a little more than the usual time compete with the others.
+    run(&mut bench, 100, 3000, |call| if call % 2 == 0 { 1100 } else { 3000 });
+    let mut admitted = [0, 0];
+    for call in 0..400 {
+        bench.pass(millis(100));
+        let short = call % 4 == 0;
+        bench.time_left = millis(if short { 25 } else { 3000 });
+        let (id, actions) = bench.offer(Some(0));
+        if sent(&actions).is_some() {
+            admitted[usize::from(!short)] += 1;
+            let late = call % 4 == 1;
+            let (outcome, took) = if late { (Outcome::TimedOut, 1000) } else { (Outcome::Good, USUAL_MS) };
+            bench.end(id, 0, outcome, millis(took));
+        }
+    }
+    let [short, whole] = [f64::from(admitted[0]) / 100.0, f64::from(admitted[1]) / 300.0];
+    assert!(
+        short < whole * 0.85 && short > 0.1,
+        "{short} of the short calls admitted, {whole} of the others"
+    );
+}
+
 /// Guards against a usual time that stands because nothing is sent any more: the first call alone took fifty times
 /// what calls take.
 #[test]
@@ -122,6 +149,8 @@
     run(&mut bench, 100, 0, |_| 3000);
     let again = (0..200)
         .filter(|_| {
+            // The tier answers others, so that no crowd is met.
+            run(&mut bench, 1, 0, |_| 3000);
             bench.pass(millis(100));
             bench.time_left = millis(40);
             let (id, _) = bench.offer(Some(0));
