Plan the fleet to come as data, and set the interface of the distribution

Need: the capacity page, its slopes and its fleets have to start from one file, and the parts that are written side by side from one form of documents and watches.

crates/scale/plan.toml holds each figure with where it is from (given or assumed); `scale plan` checks it, all faults at once with their places, and prints both readings of the rate. crates/distribution has documents, the state of a process, the client of a watch and, in docs/DISTRIBUTION.md, the design. Nothing of it is in the balancer yet.

--- /dev/null
+++ b/crates/distribution/src/host/mod.rs
@@ -0,0 +1,3 @@
+//! Hosts around the core: sockets, timers, disk.
+
+pub mod watch;
--- /dev/null
+++ b/crates/distribution/src/host/watch.rs
@@ -0,0 +1,109 @@
+//! The client of a watch: a chunked answer over HTTP/1.1 that stays open and holds one JSON object a line, with an
+//! empty line as a sign of life. The list of upstreams and configuration come the same way, by the same client.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::{Instant, timeout_at};
+
+/// Why a watch ended; `E` is why its reader would not go on.
+#[derive(Debug, Error)]
+pub enum WatchError<E: std::error::Error> {
+    /// Nothing came for too long.
+    #[error("silent for too long")]
+    Silent,
+    /// It was answered otherwise.
+    #[error("answered {0}")]
+    Status(StatusCode),
+    /// The connection broke.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// It ended in order.
+    #[error("ended")]
+    Ended,
+    /// A line over the bound, so that a broken parent cannot fill the memory.
+    #[error("a line is too long")]
+    LongLine,
+    /// The reader found a line that it cannot use.
+    #[error("{0}")]
+    Line(E),
+}
+
+/// What a watch asks for and how long it waits.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// `Host`.
+    pub host: String,
+    /// Path and query.
+    pub path: String,
+    /// By when the first whole line must have come.
+    pub first_by: Instant,
+    /// How long the next may take from each.
+    pub silence: Duration,
+    /// Bytes of a line at most.
+    pub line_most: usize,
+}
+
+/// Follows a watch on a connection that is up, until it ends; hands each whole line to `line`, an empty one as such.
+///
+/// # Errors
+/// Always: why it ended.
+pub async fn follow<I, E>(
+    stream: I,
+    ask: Ask,
+    mut line: impl FnMut(&[u8]) -> Result<(), E>,
+) -> Result<Infallible, WatchError<E>>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+    E: std::error::Error,
+{
+    let mut by = ask.first_by;
+    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream));
+    let (mut sender, connection) = timeout_at(by, handshake).await.map_err(|_| WatchError::Silent)??;
+    let mut connection = pin!(connection);
+    let followed = async {
+        let request =
+            Request::get(ask.path).header(header::HOST, ask.host).body(Empty::new()).unwrap_or_default();
+        let response =
+            timeout_at(by, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        if response.status() != StatusCode::OK {
+            return Err(WatchError::Status(response.status()));
+        }
+        let mut body = response.into_body();
+        let mut text: Vec<u8> = Vec::new();
+        loop {
+            let frame = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)?;
+            let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
+            // A chunk may hold several lines, or a part of one.
+            let mut rest = &data[..];
+            while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
+                text.extend_from_slice(&rest[..end]);
+                rest = &rest[end + 1..];
+                line(text.trim_ascii()).map_err(WatchError::Line)?;
+                // Only a whole line is a sign of life.
+                by = Instant::now() + ask.silence;
+                text.clear();
+            }
+            text.extend_from_slice(rest);
+            if text.len() > ask.line_most {
+                return Err(WatchError::LongLine);
+            }
+        }
+    };
+    let mut followed = pin!(followed);
+    tokio::select! {
+        biased;
+        ended = followed.as_mut() => return ended,
+        // The connection's end; what it has read before that is still in the body.
+        _ = connection.as_mut() => {}
+    }
+    followed.await
+}
--- /dev/null
+++ b/crates/distribution/src/lib.rs
@@ -0,0 +1,8 @@
+//! Configuration by version to every balancer.
+//!
+//! The core ([`document`], [`state`]) has no input or output, no clock and no random source of its own; the hosts
+//! around it ([`host`]) hold sockets, timers and the disk, and decide nothing.
+
+pub mod document;
+pub mod host;
+pub mod state;
--- /dev/null
+++ b/crates/distribution/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of the distribution.
+
+fn main() {}
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,76 @@
+//! The plan of the fleet to come, what it costs, and fleets that are played to find out. A tool of the repository:
+//! nothing of it is in the balancer.
+
+use std::fmt::Display;
+use std::path::Path;
+
+use thiserror::Error;
+
+pub mod control;
+pub mod decisions;
+pub mod depth;
+pub mod hollow;
+pub mod latency;
+pub mod page;
+pub mod plan;
+pub mod process;
+pub mod real;
+pub mod slope;
+pub mod sockets;
+
+/// What ends a run.
+#[derive(Debug, Error)]
+pub enum ScaleError {
+    /// A text that cannot be read as what it should be.
+    #[error("{0}")]
+    Text(String),
+    /// A file that cannot be read, written or understood.
+    #[error("{path}: {cause}")]
+    File {
+        /// The file.
+        path: String,
+        /// Why.
+        cause: String,
+    },
+    /// The plan contradicts itself.
+    #[error("the plan contradicts itself:\n  {}", .0.join("\n  "))]
+    Plan(Vec<String>),
+    /// An argument outside its range.
+    #[error("--{name}: {expected}")]
+    Argument {
+        /// Its name.
+        name: &'static str,
+        /// What was expected.
+        expected: String,
+    },
+    /// The run passed its bound of memory.
+    #[error("{place}: the run uses {used_mb} MB, over its bound of {bound_mb} MB")]
+    Memory {
+        /// What was being played.
+        place: String,
+        /// What it used.
+        used_mb: u64,
+        /// What it may use.
+        bound_mb: u64,
+    },
+    /// Something that the run needs went wrong.
+    #[error("{place}: {cause}")]
+    Run {
+        /// What was being done.
+        place: String,
+        /// What went wrong.
+        cause: String,
+    },
+}
+
+impl ScaleError {
+    /// Of a file.
+    pub fn file(path: &Path, cause: impl Display) -> Self {
+        Self::File { path: path.display().to_string(), cause: cause.to_string() }
+    }
+
+    /// Of a step of a run.
+    pub fn run(place: impl Into<String>, cause: impl Display) -> Self {
+        Self::Run { place: place.into(), cause: cause.to_string() }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,83 @@
+//! The command line of the rig.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use fennelhatch_scale::plan::{Plan, Reading};
+use fennelhatch_scale::{
+    ScaleError, control, decisions, depth, hollow, latency, page, process, real, sockets,
+};
+
+/// Plays and measures the fleet to come, and writes its capacity page.
+///
+/// Exit codes: 0 done; 1 the run failed, with the place in the last line; 2 bad arguments.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    /// The plan of the fleet.
+    #[arg(long, global = true, default_value = "crates/scale/plan.toml")]
+    plan: PathBuf,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Checks the plan and prints what follows from it.
+    Plan,
+    Decisions(decisions::Arguments),
+    Hollow(hollow::Arguments),
+    Depth(depth::Arguments),
+    Process(process::Arguments),
+    Latency(latency::Arguments),
+    Real(real::Arguments),
+    Control(control::Arguments),
+    Sockets(sockets::Arguments),
+    Page(page::Arguments),
+}
+
+fn main() -> ExitCode {
+    match run(&Arguments::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("scale: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<(), ScaleError> {
+    let plan = Plan::read(&arguments.plan)?;
+    match &arguments.command {
+        Command::Plan => {
+            for reading in [Reading::Front, Reading::Hops] {
+                println!(
+                    "{reading:?}: {:.0} calls a second over all hops, {:.0} at the front; a balancer {:.0}, the busiest {:.0}",
+                    plan.hops_per_s(reading),
+                    plan.front_per_s(reading),
+                    plan.mean_rate(reading),
+                    plan.busiest_rate(reading),
+                );
+            }
+            let sizes = plan.service_sizes();
+            println!(
+                "services: {} of {:?} ... {:?} upstreams",
+                sizes.len(),
+                &sizes[..sizes.len().min(5)],
+                sizes.last()
+            );
+            println!("whole list: {} bytes", plan.whole_list_bytes());
+            Ok(())
+        }
+        Command::Decisions(arguments) => decisions::run(arguments, &plan),
+        Command::Hollow(arguments) => hollow::run(arguments, &plan),
+        Command::Depth(arguments) => depth::run(arguments, &plan),
+        Command::Process(arguments) => process::run(arguments, &plan),
+        Command::Latency(arguments) => latency::run(arguments, &plan),
+        Command::Real(arguments) => real::run(arguments, &plan),
+        Command::Control(arguments) => control::run(arguments, &plan),
+        Command::Sockets(arguments) => sockets::run(arguments, &plan),
+        Command::Page(arguments) => page::run(arguments, &plan),
+    }
+}
--- /dev/null
+++ b/crates/scale/src/plan.rs
@@ -0,0 +1,433 @@
+//! The plan of the fleet to come: figures with where they are from, checked as a whole, and what follows from them.
+
+use std::fs;
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::ScaleError;
+
+/// Where a figure is from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Source {
+    /// It was asked for.
+    Given,
+    /// It is ours, and may be wrong.
+    Assumed,
+}
+
+/// A figure of the plan.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Figure<T> {
+    /// Its value.
+    pub value: T,
+    /// Where it is from.
+    pub from: Source,
+    /// What it counts.
+    pub unit: String,
+    /// Why this much.
+    #[serde(default)]
+    pub why: String,
+}
+
+macro_rules! section {
+    ($(#[$about:meta])* $name:ident { $($(#[$doc:meta])* $field:ident: $type:ty),+ $(,)? }) => {
+        $(#[$about])*
+        #[derive(Debug, Clone, PartialEq, Deserialize)]
+        #[serde(deny_unknown_fields)]
+        pub struct $name {
+            $($(#[$doc])* pub $field: Figure<$type>,)+
+        }
+    };
+}
+
+section! {
+    /// How many there are, and where.
+    Fleet {
+        /// Upstreams, each with its balancer.
+        upstreams: usize,
+        /// Services.
+        services: usize,
+        /// Regions.
+        regions: usize,
+        /// Zones in all.
+        zones: usize,
+        /// Zones of each region.
+        zones_by_region: Vec<usize>,
+        /// Part of the upstreams in each region.
+        region_shares: Vec<f64>,
+        /// Exponent by which services shrink with their rank.
+        size_skew: f64,
+        /// Upstreams that fail with one rack.
+        machines_per_rack: usize,
+    }
+}
+
+section! {
+    /// Who calls whom.
+    Graph {
+        /// Calls in a chain at most.
+        depth: usize,
+        /// Services that one service calls, on average.
+        destinations_mean: f64,
+        /// The same at most.
+        destinations_most: usize,
+        /// Part of the services at each depth, the front first.
+        services_by_depth: Vec<f64>,
+        /// Calls in all for one at the front, where the rate is read as over all hops.
+        hops_per_call: f64,
+    }
+}
+
+section! {
+    /// What they carry.
+    Traffic {
+        /// Calls a second, read in two ways.
+        calls_per_s: f64,
+        /// The busiest balancer over the mean.
+        busiest_over_mean: f64,
+        /// Work of one call, in ms of a core.
+        work_ms: f64,
+        /// How long a client waits, in seconds.
+        deadline_s: f64,
+        /// Until when an answer has its full worth, in seconds.
+        aim_s: f64,
+        /// Tenants at the front.
+        tenants: usize,
+        /// Repeats by a client at most.
+        client_repeats: u32,
+        /// Attempts by a balancer at most.
+        attempts: u32,
+        /// Time added to a call at most, in ms...
+        added_ms: f64,
+        /// ...for this part of the calls.
+        added_quantile: f64,
+    }
+}
+
+section! {
+    /// Delays one way, in ms.
+    Network {
+        /// Within a zone.
+        zone_ms: f64,
+        /// Between zones of a region.
+        region_ms: f64,
+        /// Between regions.
+        far_ms: f64,
+    }
+}
+
+section! {
+    /// The list of upstreams on the wire.
+    List {
+        /// Bytes of an entry.
+        entry_bytes: usize,
+        /// Seconds between signs of life.
+        beat_s: f64,
+    }
+}
+
+section! {
+    /// Configuration and how it changes.
+    Configuration {
+        /// Changes a day.
+        changes_per_day: f64,
+        /// Seconds until a change is in force everywhere.
+        in_force_s: f64,
+        /// Changes in the busiest minute.
+        peak_per_minute: f64,
+        /// Part of the changes that are for the fleet, a region, a service.
+        scope_shares: Vec<f64>,
+        /// Changes that come together, on average.
+        bunch: f64,
+        /// Bytes of the fleet's document.
+        fleet_bytes: usize,
+        /// Bytes of a region's document.
+        region_bytes: usize,
+        /// Bytes of a service's document.
+        service_bytes: usize,
+    }
+}
+
+section! {
+    /// What control may cost.
+    Budget {
+        /// Part of a core, a balancer.
+        core_share: f64,
+        /// MB, a balancer.
+        memory_mb: f64,
+        /// Bytes a second, a balancer.
+        bytes_per_s: f64,
+        /// Machines set aside for control.
+        control_machines: usize,
+        /// Cores of each.
+        machine_cores: f64,
+        /// MB of each.
+        machine_memory_mb: f64,
+        /// Bytes a second of each.
+        machine_bytes_per_s: f64,
+    }
+}
+
+section! {
+    /// How the control machines are dealt.
+    Deal {
+        /// Those that accept publications.
+        origins: usize,
+        /// Those that hold a copy to take over.
+        standbys: usize,
+        /// One a region.
+        region_relays: usize,
+        /// Those that serve the balancers of a zone.
+        zone_relays: usize,
+    }
+}
+
+section! {
+    /// What fails, and how often.
+    Failures {
+        /// Machines that fail on an ordinary day.
+        machines_per_day: f64,
+        /// Machines restarted or replaced on an ordinary day.
+        replaced_per_day: f64,
+        /// Racks a year.
+        racks_per_year: f64,
+        /// Zones a year.
+        zones_per_year: f64,
+        /// Cuts between regions a year.
+        region_cuts_per_year: f64,
+        /// Seconds of the cut that is planned for.
+        region_cut_s: f64,
+    }
+}
+
+/// The whole plan.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// How many there are, and where.
+    pub fleet: Fleet,
+    /// Who calls whom.
+    pub graph: Graph,
+    /// What they carry.
+    pub traffic: Traffic,
+    /// Delays.
+    pub network: Network,
+    /// The list on the wire.
+    pub list: List,
+    /// Configuration and how it changes.
+    pub configuration: Configuration,
+    /// What control may cost.
+    pub budget: Budget,
+    /// How the control machines are dealt.
+    pub deal: Deal,
+    /// What fails.
+    pub failures: Failures,
+}
+
+/// How "calls a second" is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reading {
+    /// Calls at the front, each then `depth` calls in all.
+    Front,
+    /// Calls over all hops.
+    Hops,
+}
+
+impl Plan {
+    /// Reads and checks the plan.
+    ///
+    /// # Errors
+    /// The file cannot be read or is malformed, or the plan contradicts itself: all faults at once, each with its place.
+    pub fn read(path: &Path) -> Result<Self, ScaleError> {
+        let text = fs::read_to_string(path).map_err(|cause| ScaleError::file(path, cause))?;
+        Self::parse(&text).map_err(|error| match error {
+            ScaleError::Text(cause) => ScaleError::file(path, cause),
+            other => other,
+        })
+    }
+
+    /// The same from its text.
+    ///
+    /// # Errors
+    /// As for [`Self::read`].
+    pub fn parse(text: &str) -> Result<Self, ScaleError> {
+        let plan: Self = toml::from_str(text).map_err(|cause| ScaleError::Text(cause.to_string()))?;
+        let faults = plan.faults();
+        if faults.is_empty() { Ok(plan) } else { Err(ScaleError::Plan(faults)) }
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let Self { fleet, graph, traffic, network, list, configuration, budget, deal, failures } = self;
+        let mut faults = Vec::new();
+        let mut want = |holds: bool, place: &str, expected: &str| {
+            if !holds {
+                faults.push(format!("{place}: {expected}"));
+            }
+        };
+        let whole = |shares: &[f64]| {
+            shares.iter().all(|share| (0.0..=1.0).contains(share))
+                && (shares.iter().sum::<f64>() - 1.0).abs() < 1e-6
+        };
+        want(fleet.services.value >= 1, "fleet.services", "one at least");
+        want(
+            fleet.upstreams.value >= fleet.services.value,
+            "fleet.upstreams",
+            "one for each service at least",
+        );
+        want(fleet.regions.value >= 1, "fleet.regions", "one at least");
+        want(
+            fleet.zones_by_region.value.len() == fleet.regions.value,
+            "fleet.zones_by_region",
+            "as many entries as fleet.regions",
+        );
+        want(
+            fleet.zones_by_region.value.iter().all(|&zones| zones > 0)
+                && fleet.zones_by_region.value.iter().sum::<usize>() == fleet.zones.value,
+            "fleet.zones_by_region",
+            "one at least in each, and fleet.zones in all",
+        );
+        want(
+            fleet.region_shares.value.len() == fleet.regions.value && whole(&fleet.region_shares.value),
+            "fleet.region_shares",
+            "as many entries as fleet.regions, 1 in all",
+        );
+        want((0.0..=3.0).contains(&fleet.size_skew.value), "fleet.size_skew", "0 to 3");
+        want(fleet.machines_per_rack.value >= 1, "fleet.machines_per_rack", "one at least");
+        want(graph.depth.value >= 1, "graph.depth", "one at least");
+        want(
+            graph.services_by_depth.value.len() == graph.depth.value && whole(&graph.services_by_depth.value),
+            "graph.services_by_depth",
+            "as many entries as graph.depth, 1 in all",
+        );
+        want(
+            (1.0..=graph.destinations_most.value as f64).contains(&graph.destinations_mean.value),
+            "graph.destinations_mean",
+            "1 to graph.destinations_most",
+        );
+        want(
+            (1.0..=graph.depth.value as f64).contains(&graph.hops_per_call.value),
+            "graph.hops_per_call",
+            "1 to graph.depth",
+        );
+        want((0.0..1.0).contains(&traffic.added_quantile.value), "traffic.added_quantile", "0 to under 1");
+        want(traffic.aim_s.value <= traffic.deadline_s.value, "traffic.aim_s", "not over traffic.deadline_s");
+        want(traffic.attempts.value >= 1, "traffic.attempts", "one at least");
+        want(traffic.tenants.value >= 1, "traffic.tenants", "one at least");
+        want(list.entry_bytes.value >= 1, "list.entry_bytes", "one at least");
+        want(
+            configuration.scope_shares.value.len() == 3 && whole(&configuration.scope_shares.value),
+            "configuration.scope_shares",
+            "three entries, 1 in all",
+        );
+        let Deal { origins, standbys, region_relays, zone_relays } = deal;
+        want(origins.value >= 1, "deal.origins", "one at least");
+        want(
+            origins.value + standbys.value + region_relays.value + zone_relays.value
+                == budget.control_machines.value,
+            "deal",
+            "budget.control_machines in all",
+        );
+        want(
+            region_relays.value.is_multiple_of(fleet.regions.value.max(1)) && region_relays.value > 0,
+            "deal.region_relays",
+            "the same number in each of fleet.regions",
+        );
+        want(
+            zone_relays.value.is_multiple_of(fleet.zones.value.max(1)) && zone_relays.value > 0,
+            "deal.zone_relays",
+            "the same number in each of fleet.zones",
+        );
+        for (place, value) in [
+            ("traffic.calls_per_s", traffic.calls_per_s.value),
+            ("traffic.busiest_over_mean", traffic.busiest_over_mean.value),
+            ("traffic.work_ms", traffic.work_ms.value),
+            ("traffic.deadline_s", traffic.deadline_s.value),
+            ("traffic.aim_s", traffic.aim_s.value),
+            ("traffic.added_ms", traffic.added_ms.value),
+            ("network.zone_ms", network.zone_ms.value),
+            ("network.region_ms", network.region_ms.value),
+            ("network.far_ms", network.far_ms.value),
+            ("list.beat_s", list.beat_s.value),
+            ("configuration.changes_per_day", configuration.changes_per_day.value),
+            ("configuration.in_force_s", configuration.in_force_s.value),
+            ("configuration.peak_per_minute", configuration.peak_per_minute.value),
+            ("configuration.bunch", configuration.bunch.value),
+            ("budget.core_share", budget.core_share.value),
+            ("budget.memory_mb", budget.memory_mb.value),
+            ("budget.bytes_per_s", budget.bytes_per_s.value),
+            ("budget.machine_cores", budget.machine_cores.value),
+            ("budget.machine_memory_mb", budget.machine_memory_mb.value),
+            ("budget.machine_bytes_per_s", budget.machine_bytes_per_s.value),
+            ("failures.machines_per_day", failures.machines_per_day.value),
+            ("failures.replaced_per_day", failures.replaced_per_day.value),
+            ("failures.racks_per_year", failures.racks_per_year.value),
+            ("failures.zones_per_year", failures.zones_per_year.value),
+            ("failures.region_cuts_per_year", failures.region_cuts_per_year.value),
+            ("failures.region_cut_s", failures.region_cut_s.value),
+        ] {
+            want(value.is_finite() && value > 0.0, place, "above 0");
+        }
+        faults
+    }
+
+    /// Calls a second over all hops.
+    #[must_use]
+    pub fn hops_per_s(&self, reading: Reading) -> f64 {
+        match reading {
+            Reading::Front => self.traffic.calls_per_s.value * self.graph.depth.value as f64,
+            Reading::Hops => self.traffic.calls_per_s.value,
+        }
+    }
+
+    /// Calls a second at the front.
+    #[must_use]
+    pub fn front_per_s(&self, reading: Reading) -> f64 {
+        match reading {
+            Reading::Front => self.traffic.calls_per_s.value,
+            Reading::Hops => self.traffic.calls_per_s.value / self.graph.hops_per_call.value,
+        }
+    }
+
+    /// Calls a second that a balancer carries at the mean.
+    #[must_use]
+    pub fn mean_rate(&self, reading: Reading) -> f64 {
+        self.hops_per_s(reading) / self.fleet.upstreams.value as f64
+    }
+
+    /// Calls a second that the busiest balancer carries.
+    #[must_use]
+    pub fn busiest_rate(&self, reading: Reading) -> f64 {
+        self.mean_rate(reading) * self.traffic.busiest_over_mean.value
+    }
+
+    /// Upstreams of each service, the largest first: skewed, one at least each, and all of them in sum.
+    #[must_use]
+    pub fn service_sizes(&self) -> Vec<usize> {
+        let (services, upstreams) = (self.fleet.services.value, self.fleet.upstreams.value);
+        let weights: Vec<f64> =
+            (1..=services).map(|rank| (rank as f64).powf(-self.fleet.size_skew.value)).collect();
+        let spare = (upstreams - services) as f64;
+        let all: f64 = weights.iter().sum();
+        // Cut where the running sum passes whole numbers, so that the parts make the whole.
+        let (mut sum, mut before) = (0.0, 0);
+        weights
+            .iter()
+            .map(|weight| {
+                sum += weight / all * spare;
+                let until = (sum + 1e-6).floor() as usize;
+                let size = 1 + until - before;
+                before = until;
+                size
+            })
+            .collect()
+    }
+
+    /// Bytes of the whole list of the fleet.
+    #[must_use]
+    pub fn whole_list_bytes(&self) -> usize {
+        self.fleet.upstreams.value * self.list.entry_bytes.value
+    }
+}
