--- /dev/null
+++ b/crates/distribution/src/report.rs
@@ -0,0 +1,272 @@
+//! What is in force below: children's reports, and sums of them that go up.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::Scope;
+use crate::state::State;
+
+/// How often a child reports, and at once after a change.
+pub const REPORT_EVERY: Duration = Duration::from_secs(5);
+/// A child that has not reported for so long is silent and counted no more: it may have gone to another parent. So
+/// nobody is counted twice for longer than this, and [`REPORT_EVERY`] more for each level that its sums go up.
+pub const SILENT_AFTER: Duration = Duration::from_secs(12);
+/// A child that has not reported for so long is forgotten.
+pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(120);
+/// Children of one parent at most.
+pub const CHILDREN_MOST: usize = 4096;
+/// Scopes of one child's report at most.
+pub const CHILD_SCOPES_MOST: usize = 8;
+/// Scopes of sums at most.
+pub const SCOPES_MOST: usize = 4096;
+/// Versions of a scope that are told apart, the newest; the older are counted together.
+pub const VERSIONS_MOST: usize = 8;
+/// Children that are named in each list.
+pub const NAMED_MOST: usize = 8;
+/// Bytes of a name, and of a reason, at most.
+pub const TEXT_MOST: usize = 256;
+
+/// What a child has in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// Its name.
+    pub who: Box<str>,
+    /// The version of each scope that it wants; 0 where there is none.
+    pub versions: BTreeMap<Scope, u64>,
+    /// A document that it was told and does not apply.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refused: Option<Refused>,
+}
+
+/// A document that is not applied.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// Whose.
+    pub scope: Scope,
+    /// Its version.
+    pub version: u64,
+    /// The faults.
+    pub why: Box<str>,
+}
+
+/// A child that holds another version than the one that stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Laggard {
+    /// Its name.
+    pub who: Box<str>,
+    /// Of which scope.
+    pub scope: Scope,
+    /// What it holds; 0 is none.
+    pub version: u64,
+}
+
+/// A child that does not apply a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedBy {
+    /// Its name.
+    pub who: Box<str>,
+    /// What it refused.
+    pub refused: Refused,
+}
+
+/// How many hold each version of a scope.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holders {
+    /// By version, the newest [`VERSIONS_MOST`]; version 0 is none.
+    pub versions: BTreeMap<u64, u64>,
+    /// Those that hold an older one.
+    #[serde(default)]
+    pub older: u64,
+}
+
+/// Sums over all that is below.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sums {
+    /// Balancers that report.
+    pub children: u64,
+    /// By scope.
+    #[serde(default)]
+    pub holders: BTreeMap<Scope, Holders>,
+    /// Reports of scopes past [`SCOPES_MOST`].
+    #[serde(default)]
+    pub scopes_left_out: u64,
+    /// The first few that lag behind the state of their parent.
+    #[serde(default)]
+    pub laggards: Vec<Laggard>,
+    /// How many refuse a document.
+    #[serde(default)]
+    pub refusing: u64,
+    /// The first few of these.
+    #[serde(default)]
+    pub refused: Vec<RefusedBy>,
+    /// How many are silent: children, and relays with all that is below them as one.
+    #[serde(default)]
+    pub silent: u64,
+    /// The first few of these.
+    #[serde(default)]
+    pub silent_names: Vec<Box<str>>,
+}
+
+impl Sums {
+    /// How many hold another version of a scope than a state has, or none of it.
+    #[must_use]
+    pub fn lagging(&self, state: &State, scope: &Scope) -> u64 {
+        let Some(holders) = self.holders.get(scope) else { return 0 };
+        let behind = holders.versions.iter().filter(|(version, _)| lags(state, scope, **version));
+        behind.fold(holders.older, |sum, (_, count)| sum.saturating_add(*count))
+    }
+
+    /// Adds others, and keeps within the bounds.
+    pub fn add(&mut self, other: &Self) {
+        let add = |sum: &mut u64, more: u64| *sum = sum.saturating_add(more);
+        add(&mut self.children, other.children);
+        add(&mut self.scopes_left_out, other.scopes_left_out);
+        add(&mut self.refusing, other.refusing);
+        add(&mut self.silent, other.silent);
+        for (scope, more) in &other.holders {
+            if self.holders.len() >= SCOPES_MOST && !self.holders.contains_key(scope) {
+                add(&mut self.scopes_left_out, 1);
+                continue;
+            }
+            let holders = self.holders.entry(scope.clone()).or_default();
+            add(&mut holders.older, more.older);
+            for (&version, &count) in &more.versions {
+                add(holders.versions.entry(version).or_default(), count);
+            }
+            while holders.versions.len() > VERSIONS_MOST
+                && let Some((_, count)) = holders.versions.pop_first()
+            {
+                add(&mut holders.older, count);
+            }
+        }
+        add_names(&mut self.laggards, &other.laggards);
+        add_names(&mut self.refused, &other.refused);
+        add_names(&mut self.silent_names, &other.silent_names);
+    }
+}
+
+fn add_names<T: Clone>(names: &mut Vec<T>, more: &[T]) {
+    let room = NAMED_MOST.saturating_sub(names.len());
+    names.extend(more.iter().take(room).cloned());
+}
+
+/// Whether a version is another than the one that stands, and no newer one than the state knows of.
+fn lags(state: &State, scope: &Scope, version: u64) -> bool {
+    let stands = state.get(scope).map_or(0, |document| document.version);
+    version != stands && version <= state.index()
+}
+
+#[derive(Debug, Clone)]
+enum Told {
+    Child(InForce),
+    Relay(Sums),
+}
+
+/// The reports of the children of one process.
+#[derive(Debug, Clone, Default)]
+pub struct Reports {
+    children: BTreeMap<Box<str>, (Duration, Told)>,
+}
+
+impl Reports {
+    /// None yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A child's report. Over the bounds, names and reasons are cut and scopes left out, and a child past
+    /// [`CHILDREN_MOST`] is not kept.
+    pub fn take(&mut self, now: Duration, mut report: InForce) {
+        report.who = cut(&report.who);
+        while report.versions.len() > CHILD_SCOPES_MOST {
+            report.versions.pop_last();
+        }
+        if let Some(refused) = &mut report.refused {
+            refused.why = cut(&refused.why);
+        }
+        self.keep(now, report.who.clone(), Told::Child(report));
+    }
+
+    /// A relay's sums.
+    pub fn take_sums(&mut self, now: Duration, who: &str, sums: Sums) {
+        // As added to nothing they are within the bounds.
+        let mut bounded = Sums::default();
+        bounded.add(&sums);
+        for who in bounded
+            .laggards
+            .iter_mut()
+            .map(|laggard| &mut laggard.who)
+            .chain(bounded.refused.iter_mut().map(|refused| &mut refused.who))
+            .chain(&mut bounded.silent_names)
+        {
+            *who = cut(who);
+        }
+        for refused in &mut bounded.refused {
+            refused.refused.why = cut(&refused.refused.why);
+        }
+        self.keep(now, cut(who), Told::Relay(bounded));
+    }
+
+    /// Sums over all children, as they go up.
+    #[must_use]
+    pub fn sums(&self, now: Duration, state: &State) -> Sums {
+        let mut sums = Sums::default();
+        for (who, (at, told)) in &self.children {
+            let age = now.saturating_sub(*at);
+            if age > FORGOTTEN_AFTER {
+                continue;
+            }
+            if age > SILENT_AFTER {
+                sums.add(&Sums { silent: 1, silent_names: vec![who.clone()], ..Sums::default() });
+                continue;
+            }
+            match told {
+                Told::Child(report) => sums.add(&report.alone(state)),
+                Told::Relay(below) => sums.add(below),
+            }
+        }
+        sums
+    }
+
+    fn keep(&mut self, now: Duration, who: Box<str>, told: Told) {
+        if self.children.len() >= CHILDREN_MOST && !self.children.contains_key(&who) {
+            self.children.retain(|_, (at, _)| now.saturating_sub(*at) <= SILENT_AFTER);
+            if self.children.len() >= CHILDREN_MOST {
+                return;
+            }
+        }
+        self.children.insert(who, (now, told));
+    }
+}
+
+impl InForce {
+    fn alone(&self, state: &State) -> Sums {
+        let holders = |(scope, version): (&Scope, &u64)| {
+            (scope.clone(), Holders { versions: BTreeMap::from([(*version, 1)]), older: 0 })
+        };
+        let lagging = self.versions.iter().filter(|(scope, version)| lags(state, scope, **version));
+        let laggard = |(scope, version): (&Scope, &u64)| Laggard {
+            who: self.who.clone(),
+            scope: scope.clone(),
+            version: *version,
+        };
+        let refused = self.refused.clone().map(|refused| RefusedBy { who: self.who.clone(), refused });
+        Sums {
+            children: 1,
+            holders: self.versions.iter().map(holders).collect(),
+            laggards: lagging.map(laggard).collect(),
+            refusing: u64::from(refused.is_some()),
+            refused: refused.into_iter().collect(),
+            ..Sums::default()
+        }
+    }
+}
+
+fn cut(text: &str) -> Box<str> {
+    let end =
+        text.char_indices().map(|(at, char)| at + char.len_utf8()).take_while(|end| *end <= TEXT_MOST).last();
+    text[..end.unwrap_or(0)].into()
+}
--- a/crates/distribution/src/state.rs
+++ b/crates/distribution/src/state.rs
@@ -6,6 +6,9 @@
 
 use crate::document::{Document, Scope, Update};
 
+/// Withdrawn documents that are kept as such at most; a reader that stands before one that was let go is told the whole.
+pub const WITHDRAWN_MOST: usize = 256;
+
 /// Why an update was refused; nothing of it was taken in.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Refusal {
@@ -33,14 +36,14 @@
         /// Its version.
         version: u64,
     },
-    /// A document's version goes back, or says another thing at the same version.
+    /// A document's version goes back, or it is another one than the one held at the same index, or it comes twice.
     #[error("{scope} {version} after {have}")]
     Conflict {
         /// Whose.
         scope: Scope,
         /// What it said.
         version: u64,
-        /// What stands.
+        /// What stands; 0 where there is none.
         have: u64,
     },
     /// A document's version lies past the index that it came with.
@@ -81,10 +84,13 @@
     }
 }
 
-/// The newest documents.
+/// The newest documents. It is of one set of scopes for as long as it is kept: a reader that comes to want others begins
+/// with an empty one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct State {
     index: u64,
+    /// Of changes before it, withdrawals may be unknown here: a reader that stands before it is told the whole.
+    floor: u64,
     documents: BTreeMap<Scope, Document>,
 }
 
@@ -109,17 +115,19 @@
     /// Takes in an update whole, or refuses it and stays as it was. Tells the scopes that changed.
     ///
     /// # Errors
-    /// It goes back, has a gap before it, is damaged or of another service.
+    /// It goes back, has a gap before it, is damaged, of another service, or of another history than this state.
     pub fn take(&mut self, update: Update, wanted: &Wanted) -> Result<Vec<Scope>, Refusal> {
         let have = self.index;
-        if update.index < have {
-            return Err(Refusal::Older { index: update.index, have });
+        let Update { index, snapshot, after, documents, .. } = update;
+        if index < have {
+            return Err(Refusal::Older { index, have });
         }
-        if !update.snapshot && update.after > have {
-            return Err(Refusal::Gap { after: update.after, have });
+        if !snapshot && after > have {
+            return Err(Refusal::Gap { after, have });
         }
-        for document in &update.documents {
-            let Document { scope, version, .. } = document;
+        let mut told = BTreeMap::new();
+        for document in documents {
+            let Document { scope, version, .. } = &document;
             let (scope, version) = (scope.clone(), *version);
             if !wanted.has(&scope) {
                 return Err(Refusal::Foreign { scope });
@@ -127,58 +135,105 @@
             if !document.is_whole() {
                 return Err(Refusal::Damaged { scope, version });
             }
-            if version > update.index {
-                return Err(Refusal::Beyond { scope, version, index: update.index });
+            if version > index {
+                return Err(Refusal::Beyond { scope, version, index });
             }
-            if let Some(held) = self.documents.get(&scope)
-                && (version < held.version || version == held.version && document.digest != held.digest)
-            {
-                return Err(Refusal::Conflict { scope, version, have: held.version });
+            let held = self.documents.get(&scope);
+            // What was made up to the index that stands has been seen; a withdrawn one may have been let go since.
+            let sound = match held {
+                Some(held) if version <= have => *held == document,
+                Some(_) => true,
+                None => version > have || version > 0 && document.is_withdrawn(),
+            };
+            if !sound || told.contains_key(&scope) {
+                return Err(Refusal::Conflict { scope, version, have: held.map_or(0, |held| held.version) });
             }
+            told.insert(scope, document);
         }
         let mut changed = Vec::new();
-        if update.snapshot {
-            let named = |scope: &Scope| update.documents.iter().any(|document| document.scope == *scope);
-            let gone: Vec<Scope> = self.documents.keys().filter(|scope| !named(scope)).cloned().collect();
-            for scope in gone {
-                let before = self
-                    .documents
-                    .insert(scope.clone(), Document::new(scope.clone(), update.index, "null".into()));
-                if before.is_some_and(|before| !before.is_withdrawn()) {
-                    changed.push(scope);
+        if snapshot {
+            for held in self.documents.values().filter(|held| !held.is_withdrawn()) {
+                if told.contains_key(&held.scope) {
+                    continue;
+                }
+                if index == have {
+                    let (scope, version) = (held.scope.clone(), index);
+                    return Err(Refusal::Conflict { scope, version, have: held.version });
                 }
+                changed.push(held.scope.clone());
             }
         }
-        for document in update.documents {
-            let newer =
-                self.documents.get(&document.scope).is_none_or(|held| held.version < document.version);
-            if newer {
-                changed.push(document.scope.clone());
-                self.documents.insert(document.scope.clone(), document);
+        for (scope, document) in &told {
+            let held = self.documents.get(scope);
+            if held.is_none_or(|held| held.version < document.version)
+                && !(document.is_withdrawn() && held.is_none_or(Document::is_withdrawn))
+            {
+                changed.push(scope.clone());
             }
         }
-        self.index = update.index;
+        if snapshot && index > have {
+            // What was withdrawn on the way here is not in it.
+            self.floor = index;
+            self.documents = told;
+        } else {
+            self.documents.extend(told);
+        }
+        self.index = index;
+        self.let_go();
         Ok(changed)
     }
 
     /// What a reader that stands at `since` has to be told, merged to the newest: the whole where it has nothing or
-    /// stands past this state, else the changes; `None` where there are none.
+    /// stands before what is known here, else the changes; `None` where there are none. A reader that stands past this
+    /// state is told its index, so that it refuses it and looks for another parent.
     #[must_use]
     pub fn since(&self, since: u64, wanted: &Wanted) -> Option<Update> {
-        let snapshot = since == 0;
-        let documents: Vec<Document> = self
-            .documents
-            .values()
-            .filter(|document| wanted.has(&document.scope) && document.version > since)
-            .filter(|document| !snapshot || !document.is_withdrawn())
-            .cloned()
-            .collect();
-        (snapshot || !documents.is_empty()).then_some(Update {
-            index: self.index,
-            snapshot,
-            after: if snapshot { 0 } else { since },
-            stale_s: 0,
-            documents,
-        })
+        let update = |snapshot, after, documents| {
+            Some(Update { index: self.index, snapshot, after, stale_s: 0, documents })
+        };
+        if since > self.index {
+            return update(false, self.index, Vec::new());
+        }
+        let snapshot = since == 0 || since < self.floor;
+        let told = |document: &&Document| {
+            wanted.has(&document.scope)
+                && if snapshot { !document.is_withdrawn() } else { document.version > since }
+        };
+        let documents: Vec<Document> = self.documents.values().filter(told).cloned().collect();
+        if snapshot {
+            update(true, 0, documents)
+        } else if documents.is_empty() {
+            None
+        } else {
+            update(false, since, documents)
+        }
+    }
+
+    /// One of documents that are known to be all up to `index`; withdrawals before `floor` may be missing.
+    pub(crate) fn restored(index: u64, floor: u64, documents: BTreeMap<Scope, Document>) -> Self {
+        let mut state = Self { index, floor, documents };
+        state.let_go();
+        state
+    }
+
+    /// The next change.
+    pub(crate) fn put(&mut self, document: Document) {
+        self.index = document.version;
+        self.documents.insert(document.scope.clone(), document);
+        self.let_go();
+    }
+
+    /// Lets the oldest withdrawn documents go over the bound.
+    fn let_go(&mut self) {
+        let withdrawn = |document: &&Document| document.is_withdrawn();
+        let mut versions: Vec<u64> =
+            self.documents.values().filter(withdrawn).map(|document| document.version).collect();
+        if versions.len() <= WITHDRAWN_MOST {
+            return;
+        }
+        versions.sort_unstable();
+        let last = versions[versions.len() - WITHDRAWN_MOST - 1];
+        self.documents.retain(|_, document| !document.is_withdrawn() || document.version > last);
+        self.floor = self.floor.max(last);
     }
 }
