--- a/crates/distribution/src/document.rs
+++ b/crates/distribution/src/document.rs
@@ -104,8 +104,8 @@
     }
 }
 
-/// A document at one version. Its body is the text as it was published, to the byte: a JSON object, or `null` once it
-/// has been withdrawn.
+/// A document at one version. Its body is the text as the origin took it in, on one line and to the byte the same for
+/// everyone: a JSON object, or `null` once it has been withdrawn.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Document {
     /// Whom it is for.
--- a/crates/distribution/src/origin.rs
+++ b/crates/distribution/src/origin.rs
@@ -12,6 +12,8 @@
 
 /// Bytes of a request id at most.
 pub const REQUEST_MOST: usize = 128;
+/// The highest index: what every reader of JSON tells apart.
+pub const INDEX_MOST: u64 = 1 << 53;
 
 /// What the origin takes at most.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -116,6 +118,12 @@
         /// Its index.
         index: u64,
     },
+    /// An index past the highest.
+    #[error("index {index}: at most {INDEX_MOST}")]
+    TooHigh {
+        /// The index.
+        index: u64,
+    },
     /// Two records have one index.
     #[error("record {index} comes twice")]
     Twice {
@@ -143,7 +151,7 @@
     /// written, in one transaction, before anything is published; until then readers see what the disk had.
     ///
     /// # Errors
-    /// A record is damaged or comes twice.
+    /// A record is damaged or comes twice, or an index is too high.
     pub fn restore(
         bounds: Bounds,
         records: impl IntoIterator<Item = Record>,
@@ -160,6 +168,9 @@
         };
         for record in records {
             let Record { index, document, .. } = &record;
+            if *index > INDEX_MOST {
+                return Err(RestoreError::TooHigh { index: *index });
+            }
             if *index == 0 || document.version != *index || !document.is_whole() {
                 return Err(RestoreError::Damaged { index: *index });
             }
@@ -178,6 +189,9 @@
         let missing = last - run as u64;
         let floor = if missing == 0 { 0 } else { missing + 1 };
         origin.state = State::restored(last, floor, documents);
+        if index_at_least > INDEX_MOST {
+            return Err(RestoreError::TooHigh { index: index_at_least });
+        }
         if last < index_at_least {
             origin.reissue(index_at_least);
         }
@@ -276,17 +290,16 @@
             return;
         }
         let pending = std::mem::take(&mut self.pending);
-        for record in &pending {
-            self.remember(record);
+        if let Some(first) = pending.first().filter(|record| record.request.is_empty()) {
+            let first = first.index;
+            let documents =
+                pending.into_iter().map(|record| (record.document.scope.clone(), record.document));
+            self.state = State::restored(index, first, documents.collect());
+            return;
         }
-        let reissued = pending[0].request.is_empty();
-        let first = pending[0].index;
-        let documents = pending.into_iter().map(|record| record.document);
-        if reissued {
-            let documents = documents.map(|document| (document.scope.clone(), document)).collect();
-            self.state = State::restored(index, first, documents);
-        } else {
-            documents.for_each(|document| self.state.put(document));
+        for record in pending {
+            self.remember(&record);
+            self.state.put(record.document);
         }
     }
 
@@ -324,11 +337,16 @@
         }
         let content = Digest::of(&document.scope, 0, &document.body);
         self.requests.insert(*index, request.clone());
-        self.asked.insert(request.clone(), (*index, content));
+        // An id that was forgotten may have been used again.
+        if self.asked.get(request).is_none_or(|(before, _)| before < index) {
+            self.asked.insert(request.clone(), (*index, content));
+        }
         while self.requests.len() > self.bounds.requests_most
-            && let Some((_, oldest)) = self.requests.pop_first()
+            && let Some((index, oldest)) = self.requests.pop_first()
         {
-            self.asked.remove(&oldest);
+            if self.asked.get(&oldest).is_some_and(|(newest, _)| *newest == index) {
+                self.asked.remove(&oldest);
+            }
         }
     }
 }
--- a/crates/distribution/src/report.rs
+++ b/crates/distribution/src/report.rs
@@ -15,14 +15,16 @@
 pub const SILENT_AFTER: Duration = Duration::from_secs(12);
 /// A child that has not reported for so long is forgotten.
 pub const FORGOTTEN_AFTER: Duration = Duration::from_secs(120);
-/// Children of one parent at most.
+/// Balancers that report to one parent at most.
 pub const CHILDREN_MOST: usize = 4096;
+/// Relays that report to one parent at most; their sums are larger.
+pub const RELAYS_MOST: usize = 64;
 /// Scopes of one child's report at most.
 pub const CHILD_SCOPES_MOST: usize = 8;
 /// Scopes of sums at most.
 pub const SCOPES_MOST: usize = 4096;
 /// Versions of a scope that are told apart, the newest; the older are counted together.
-pub const VERSIONS_MOST: usize = 8;
+pub const VERSIONS_MOST: usize = 4;
 /// Children that are named in each list.
 pub const NAMED_MOST: usize = 8;
 /// Bytes of a name, and of a reason, at most.
@@ -158,16 +160,14 @@
     version != stands && version <= state.index()
 }
 
-#[derive(Debug, Clone)]
-enum Told {
-    Child(InForce),
-    Relay(Sums),
-}
+/// Reports by name, each with its time.
+type Kept<T> = BTreeMap<Box<str>, (Duration, T)>;
 
 /// The reports of the children of one process.
 #[derive(Debug, Clone, Default)]
 pub struct Reports {
-    children: BTreeMap<Box<str>, (Duration, Told)>,
+    children: Kept<InForce>,
+    relays: Kept<Sums>,
 }
 
 impl Reports {
@@ -177,7 +177,7 @@
         Self::default()
     }
 
-    /// A child's report. Over the bounds, names and reasons are cut and scopes left out, and a child past
+    /// A balancer's report. Over the bounds, names and reasons are cut and scopes left out, and one past
     /// [`CHILDREN_MOST`] is not kept.
     pub fn take(&mut self, now: Duration, mut report: InForce) {
         report.who = cut(&report.who);
@@ -187,10 +187,10 @@
         if let Some(refused) = &mut report.refused {
             refused.why = cut(&refused.why);
         }
-        self.keep(now, report.who.clone(), Told::Child(report));
+        keep(&mut self.children, CHILDREN_MOST, now, report.who.clone(), report);
     }
 
-    /// A relay's sums.
+    /// A relay's sums. They are bounded likewise, and one past [`RELAYS_MOST`] is not kept.
     pub fn take_sums(&mut self, now: Duration, who: &str, sums: Sums) {
         // As added to nothing they are within the bounds.
         let mut bounded = Sums::default();
@@ -207,39 +207,40 @@
         for refused in &mut bounded.refused {
             refused.refused.why = cut(&refused.refused.why);
         }
-        self.keep(now, cut(who), Told::Relay(bounded));
+        keep(&mut self.relays, RELAYS_MOST, now, cut(who), bounded);
     }
 
     /// Sums over all children, as they go up.
     #[must_use]
     pub fn sums(&self, now: Duration, state: &State) -> Sums {
         let mut sums = Sums::default();
-        for (who, (at, told)) in &self.children {
-            let age = now.saturating_sub(*at);
-            if age > FORGOTTEN_AFTER {
-                continue;
-            }
-            if age > SILENT_AFTER {
-                sums.add(&Sums { silent: 1, silent_names: vec![who.clone()], ..Sums::default() });
-                continue;
-            }
-            match told {
-                Told::Child(report) => sums.add(&report.alone(state)),
-                Told::Relay(below) => sums.add(below),
+        let mut add = |who: &str, at: Duration, told: &dyn Fn() -> Sums| {
+            let age = now.saturating_sub(at);
+            if age <= SILENT_AFTER {
+                sums.add(&told());
+            } else if age <= FORGOTTEN_AFTER {
+                sums.add(&Sums { silent: 1, silent_names: vec![who.into()], ..Sums::default() });
             }
+        };
+        for (who, (at, report)) in &self.children {
+            add(who, *at, &|| report.alone(state));
+        }
+        for (who, (at, below)) in &self.relays {
+            add(who, *at, &|| below.clone());
         }
         sums
     }
+}
 
-    fn keep(&mut self, now: Duration, who: Box<str>, told: Told) {
-        if self.children.len() >= CHILDREN_MOST && !self.children.contains_key(&who) {
-            self.children.retain(|_, (at, _)| now.saturating_sub(*at) <= SILENT_AFTER);
-            if self.children.len() >= CHILDREN_MOST {
-                return;
-            }
+/// Keeps a report; where there is no room, of those that are not silent.
+fn keep<T>(kept: &mut Kept<T>, most: usize, now: Duration, who: Box<str>, told: T) {
+    if kept.len() >= most && !kept.contains_key(&who) {
+        kept.retain(|_, (at, _)| now.saturating_sub(*at) <= SILENT_AFTER);
+        if kept.len() >= most {
+            return;
         }
-        self.children.insert(who, (now, told));
     }
+    kept.insert(who, (now, told));
 }
 
 impl InForce {
--- a/crates/distribution/src/state.rs
+++ b/crates/distribution/src/state.rs
@@ -209,6 +209,17 @@
         }
     }
 
+    /// As [`State::since`], from a parent that has heard nothing from above for `stale_s` seconds: where there is nothing to
+    /// tell but that, a change without documents. `None`, for an empty line as a sign of life, only where it is 0.
+    #[must_use]
+    pub fn tell(&self, since: u64, wanted: &Wanted, stale_s: u64) -> Option<Update> {
+        let update = self.since(since, wanted).or_else(|| {
+            let (index, documents) = (self.index, Vec::new());
+            (stale_s > 0).then_some(Update { index, snapshot: false, after: since, stale_s, documents })
+        })?;
+        Some(Update { stale_s, ..update })
+    }
+
     /// One of documents that are known to be all up to `index`; withdrawals before `floor` may be missing.
     pub(crate) fn restored(index: u64, floor: u64, documents: BTreeMap<Scope, Document>) -> Self {
         let mut state = Self { index, floor, documents };
