--- a/crates/distribution/tests/core_common/mod.rs
+++ b/crates/distribution/tests/core_common/mod.rs
@@ -70,6 +70,9 @@
     Pause(usize, Duration),
     Cut(usize),
     Heal(usize),
+    /// Two nodes lose each other.
+    CutPair(usize, usize),
+    HealPair(usize, usize),
     /// A connection to the parent is reset.
     Reset(usize),
     /// The next line that a node is told has a body that was changed on the way.
@@ -166,11 +169,13 @@
     count: u64,
     last: BTreeMap<(u64, bool), Duration>,
     cut: BTreeSet<usize>,
+    cut_pairs: BTreeSet<(usize, usize)>,
     held: Vec<(usize, usize, u64, Event)>,
     waiting: Vec<(Scope, bool)>,
     published: u64,
     disk_full: bool,
     changed: bool,
+    acts: usize,
     seed: u64,
 }
 
@@ -204,11 +209,13 @@
             count: 0,
             last: BTreeMap::new(),
             cut: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
             held: Vec::new(),
             waiting: Vec::new(),
             published: 0,
             disk_full: false,
             changed: true,
+            acts: 0,
             seed,
         };
         network.add("origin".into(), None, Some(0), Wanted::All, vec![]);
@@ -305,10 +312,14 @@
     }
 
     pub fn act(&mut self, at: Duration, act: Act) {
+        self.acts += 1;
         self.push(ORIGIN, at, Event::Act(act));
     }
 
     fn is_cut(&self, a: usize, b: usize) -> bool {
+        if self.cut_pairs.contains(&(a.min(b), a.max(b))) {
+            return true;
+        }
         let (a, b) = (self.nodes[a].region, self.nodes[b].region);
         a != b && [a, b].into_iter().flatten().any(|region| self.cut.contains(&region))
     }
@@ -339,11 +350,16 @@
         self.now = until;
     }
 
-    /// Plays until everyone that runs holds the newest, at most up to a time; tells when it came to that.
+    /// Plays until all that was asked for is done and everyone that runs holds the newest, at most up to a time; tells when
+    /// it came to that.
     pub fn run_until_converged(&mut self, by: Duration) -> Option<Duration> {
         self.changed = true;
         loop {
-            if std::mem::take(&mut self.changed) && self.lagging().is_empty() {
+            if self.acts == 0
+                && self.waiting.is_empty()
+                && std::mem::take(&mut self.changed)
+                && self.lagging().is_empty()
+            {
                 return Some(self.now);
             }
             if self.queue.first_key_value().is_none_or(|((at, _), _)| *at > by) {
@@ -517,6 +533,7 @@
             }
             before
         });
+        let number = child;
         let child = &mut self.nodes[child];
         let Line::Update(mut update) = line else { return Some(line) };
         if child.damage && !update.documents.is_empty() {
@@ -526,7 +543,9 @@
             && let Some(before) = before
         {
             child.repeat = false;
-            update = before;
+            // It comes before the one that is due.
+            let line = Line::Update(before);
+            self.send(node, number, watch, Event::Line { watch, line });
         } else if child.swallow && !update.documents.is_empty() {
             child.swallow = false;
             return None;
@@ -666,6 +685,7 @@
     }
 
     fn do_act(&mut self, act: Act) {
+        self.acts -= 1;
         match act {
             Act::Publish { scope, withdraw } => {
                 self.waiting.push((scope, withdraw));
@@ -681,7 +701,17 @@
             Act::Cut(region) => {
                 self.cut.insert(region);
             }
-            Act::Heal(region) => self.heal(region),
+            Act::Heal(region) => {
+                self.cut.remove(&region);
+                self.send_held();
+            }
+            Act::CutPair(a, b) => {
+                self.cut_pairs.insert((a.min(b), a.max(b)));
+            }
+            Act::HealPair(a, b) => {
+                self.cut_pairs.remove(&(a.min(b), a.max(b)));
+                self.send_held();
+            }
             Act::Reset(node) => {
                 if let Some((watch, parent)) = self.nodes[node].watch {
                     self.send(node, parent, watch, Event::Left(watch));
@@ -692,7 +722,10 @@
             Act::Repeat(node) => self.nodes[node].repeat = true,
             Act::Swallow(node) => self.nodes[node].swallow = true,
             Act::Mute(node, muted) => self.nodes[node].muted = muted,
-            Act::Slow(node, slow) => self.nodes[node].slow = slow,
+            Act::Slow(node, slow) => {
+                self.nodes[node].slow = slow;
+                self.nodes[node].deadline += slow;
+            }
             Act::DiskFull => self.disk_full = true,
         }
     }
@@ -732,8 +765,7 @@
         self.begin(node);
     }
 
-    fn heal(&mut self, region: usize) {
-        self.cut.remove(&region);
+    fn send_held(&mut self) {
         let held = std::mem::take(&mut self.held);
         for (from, to, watch, event) in held {
             self.send(from, to, watch, event);
@@ -758,6 +790,11 @@
         self.act(at, Act::Publish { scope: scope(text), withdraw: true });
     }
 
+    /// Calls of a node since a time.
+    pub fn calls_of(&self, node: usize, since: Duration) -> usize {
+        self.calls.iter().filter(|(at, from, _)| *from == node && *at >= since).count()
+    }
+
     /// Everyone up, fresh and at the newest of a few documents, at 20 s.
     pub fn settled(seed: u64, balancers: usize, services: usize) -> Self {
         let mut network = Self::new(seed, balancers, services);
