--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,12 +5,12 @@
 //! 2. [`LearnedLimit`] is the rate that the suppressor holds a tenant to;
 //! 3. [`Subset`] is the copy's part of the tier, from which the less busy of two is picked;
 //! 4. [`Upstream`] is what the copy knows of an upstream: health, warmth, own calls in flight;
-//! 5. [`Ledger`] holds the requests with their attempts and the budgets for further ones;
-//! 6. [`Discovery`] keeps the list coming.
+//! 5. [`Ledger`] holds the requests with their attempts and the budgets for further ones.
 //!
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
+use std::mem::take;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -168,10 +168,9 @@
         let bucket = (now / self.bucket_s) as u64;
         let steps = bucket.saturating_sub(self.current).min(BUCKETS as u64);
         for step in 1..=steps {
-            let slot = &mut self.buckets[((self.current + step) % BUCKETS as u64) as usize];
-            self.sum.total -= slot.total;
-            self.sum.accepted -= slot.accepted;
-            *slot = Bucket::default();
+            let old = take(&mut self.buckets[((self.current + step) % BUCKETS as u64) as usize]);
+            self.sum.total -= old.total;
+            self.sum.accepted -= old.accepted;
         }
         self.current = self.current.max(bucket);
     }
@@ -374,7 +373,6 @@
 #[derive(Debug)]
 struct Upstream {
     member: Member,
-    listed: bool,
     home: bool,
     /// Its place in the slowness of kinds.
     kind: usize,
@@ -403,7 +401,6 @@
     fn new(member: Member, now: f64, rng: &mut Rand64) -> Self {
         Self {
             member,
-            listed: true,
             home: false,
             kind: 0,
             in_flight: 0,
@@ -423,7 +420,7 @@
     }
 
     fn usable(&self) -> bool {
-        self.listed && self.member.phase == Phase::Ready
+        self.member.phase == Phase::Ready
     }
 
     /// It is within reach: what connect timeouts alone made of it is over.
@@ -443,10 +440,6 @@
         (share + (1.0 - share) * age / time).min(1.0)
     }
 
-    fn stalled(&self, now: f64, usual: f64) -> bool {
-        self.in_flight > 0 && now - self.heard > (usual * STALL.0).max(STALL.1)
-    }
-
     /// Whether an open connection has room for another attempt.
     fn has_room(&self, now: f64, allowed: &Allowed) -> bool {
         let open = self.connections.saturating_mul(allowed.streams);
@@ -480,12 +473,14 @@
     withdrawn: bool,
 }
 
-/// How an attempt ended, after how long, and for how long of that it had a connection.
+/// How an attempt ended, after how long, for how long of that it had a connection, and whether its request ended too.
 #[derive(Debug, Clone, Copy)]
 struct Ending {
+    number: AttemptNumber,
     outcome: Outcome,
     took: f64,
     served: f64,
+    finished: bool,
 }
 
 #[derive(Debug, Default)]
@@ -551,16 +546,6 @@
     }
 }
 
-// --- 6. Discovery ---
-
-/// Keeps the subscription open.
-#[derive(Debug, Default)]
-struct Discovery {
-    /// When to ask next, which with a subscription is never.
-    ask_at: f64,
-    backoff_s: f64,
-}
-
 // --- The balancer ---
 
 /// One copy's decisions.
@@ -588,7 +573,9 @@
     kind_slowness: Vec<f64>,
     latencies: Vec<Latency>,
     ledger: Ledger,
-    discovery: Discovery,
+    /// When to ask for the list next, which with a subscription is never, and how long the latest wait for it was.
+    ask_at: f64,
+    backoff_s: f64,
     largest_weight: f64,
 }
 
@@ -628,7 +615,8 @@
             kind_slowness: vec![1.0; settings.kinds + 1],
             latencies: vec![Latency::default(); settings.classes.len()],
             ledger: Ledger { budgets: [REPEATS.1 / 2.0, REROUTES.1 / 2.0], ..Ledger::default() },
-            discovery: Discovery::default(),
+            ask_at: 0.0,
+            backoff_s: 0.0,
             largest_weight: 1.0,
             settings,
         })
@@ -653,11 +641,11 @@
                     entry.withdraw(request, Some(attempt), actions);
                 }
             }
-            Event::AttemptEnded { request, attempt, outcome, took, connecting, finished, .. } => {
+            Event::AttemptEnded { request, attempt: number, outcome, took, connecting, finished, .. } => {
                 let unconnected = if outcome == Outcome::ConnectTimedOut { took } else { connecting };
                 let served = took.saturating_sub(unconnected).as_secs_f64();
-                let end = Ending { outcome, took: took.as_secs_f64(), served };
-                self.attempt_ended(now, request, attempt, end, finished, actions);
+                let end = Ending { number, outcome, took: took.as_secs_f64(), served, finished };
+                self.attempt_ended(now, request, end, actions);
             }
             Event::Connected(upstream) => {
                 let Some(&slot) = self.slots.get(&upstream) else { return };
@@ -683,7 +671,7 @@
 
     fn subscribe(&mut self, now: f64, actions: &mut Vec<Action>) {
         actions.push(Action::Subscribe);
-        self.discovery.ask_at = now + self.ask_within();
+        self.ask_at = now + self.ask_within();
     }
 
     fn ask_within(&self) -> f64 {
@@ -699,17 +687,17 @@
             // Copies whose calls fail together must not come back together; each agent has one copy alone.
             let own = self.settings.discovery == DiscoveryMode::Agent;
             let most = if own { 0.0 } else { self.ask_within().max(RESUBSCRIBE_S) };
-            let before = if moved { 0.0 } else { self.discovery.backoff_s };
+            let before = if moved { 0.0 } else { self.backoff_s };
             let backoff_s = (before * 2.0).max(RESUBSCRIBE_S).min(most);
-            let ask_at = now + between(&mut self.rng, (backoff_s / 2.0, backoff_s));
-            self.discovery = Discovery { ask_at, backoff_s };
+            self.ask_at = now + between(&mut self.rng, (backoff_s / 2.0, backoff_s));
+            self.backoff_s = backoff_s;
             return;
         };
         if !stale {
-            self.discovery = Discovery { ask_at: f64::MAX, backoff_s: 0.0 };
+            (self.ask_at, self.backoff_s) = (f64::MAX, 0.0);
         }
-        for upstream in &mut self.upstreams {
-            upstream.listed &= !whole;
+        if whole {
+            self.upstreams.iter_mut().for_each(|upstream| upstream.member.phase = Phase::Gone);
         }
         for member in members {
             self.learn_member(now, member);
@@ -722,7 +710,6 @@
             let upstream = &mut self.upstreams[slot];
             let restarted = upstream.member.started != member.started;
             upstream.member = member;
-            upstream.listed = member.phase != Phase::Gone;
             if restarted {
                 // A new process knows nothing of what the old one did.
                 let Upstream { in_flight, home, kind, .. } = *upstream;
@@ -730,12 +717,9 @@
             }
         } else if member.phase != Phase::Gone {
             let upstream = Upstream::new(member, now, &mut self.rng);
+            // A free place or a new one behind the last.
             let slot = self.free.pop().unwrap_or(self.upstreams.len());
-            if slot == self.upstreams.len() {
-                self.upstreams.push(upstream);
-            } else {
-                self.upstreams[slot] = upstream;
-            }
+            self.upstreams.splice(slot..self.upstreams.len().min(slot + 1), [upstream]);
             self.slots.insert(member.id, slot);
         }
     }
@@ -750,7 +734,7 @@
         for (id, slot) in order {
             let upstream = &mut self.upstreams[slot];
             if !upstream.usable() {
-                if !upstream.listed && upstream.in_flight == 0 {
+                if upstream.member.phase == Phase::Gone && upstream.in_flight == 0 {
                     self.slots.remove(&id);
                     self.free.push(slot);
                 }
@@ -799,14 +783,13 @@
             ..Entry::default()
         };
         self.ledger.entries.insert(request.id, entry);
-        if !self.admit(now, request.id, tenant) {
-            return self.finish(request.id, false, actions);
-        }
+        let admitted = self.admit(now, request.id, tenant);
         // Only admitted calls earn further attempts: a storm of denied ones must not pay for them.
-        for (budget, (each, most)) in self.ledger.budgets.iter_mut().zip([REPEATS, REROUTES]) {
-            *budget = (*budget + each).min(most);
+        let earned = if admitted { [REPEATS, REROUTES].as_slice() } else { &[] };
+        for (budget, (each, most)) in self.ledger.budgets.iter_mut().zip(earned) {
+            *budget = (*budget + each).min(*most);
         }
-        if !self.send_somewhere(now, request.id, actions) {
+        if !admitted || !self.send_somewhere(now, request.id, actions) {
             self.finish(request.id, false, actions);
         }
     }
@@ -856,22 +839,16 @@
     /// declines, from the others; then whatever is left.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
-        let scope = match self.settings.classes[entry.class.0].effect {
-            Effect::Keyed { scope, .. } => scope,
-            _ => DedupScope::All,
-        };
-        let Some(&Attempt { member, .. }) = entry.first_run().filter(|_| scope != DedupScope::All) else {
-            return self.pick_plain(now, id);
-        };
-        let kin = |&&slot: &&usize| {
-            let Member { zone, cell, .. } = self.upstreams[slot].member;
-            if scope == DedupScope::Zone { zone == member.zone } else { cell == member.cell }
-        };
-        let members: Vec<usize> = self.ready.iter().filter(kin).copied().collect();
-        self.draw_two(now, id, &members)
-    }
-
-    fn pick_plain(&mut self, now: f64, id: RequestId) -> Option<usize> {
+        if let Effect::Keyed { scope, .. } = self.settings.classes[entry.class.0].effect
+            && let Some(&Attempt { member, .. }) = entry.first_run().filter(|_| scope != DedupScope::All)
+        {
+            let kin = |&&slot: &&usize| {
+                let Member { zone, cell, .. } = self.upstreams[slot].member;
+                if scope == DedupScope::Zone { zone == member.zone } else { cell == member.cell }
+            };
+            let members: Vec<usize> = self.ready.iter().filter(kin).copied().collect();
+            return self.draw_two(now, id, &members);
+        }
         let [home, away] = [&self.subset.home, &self.subset.away].map(|group| Arc::clone(&group.members));
         let at_home =
             away.is_empty() || (!home.is_empty() && self.rng.rand_float() < self.subset.stay.unwrap_or(1.0));
@@ -909,13 +886,17 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if !self.open(id, slot) || upstream.aside_until > now || upstream.stalled(now, usual) {
+            let silent = upstream.in_flight > 0 && now - upstream.heard > (usual * STALL.0).max(STALL.1);
+            if !self.open(id, slot) || upstream.aside_until > now || silent {
                 continue;
             }
+            // Its own or, before the first latency, that of its kind.
+            let known = upstream.measured > 0.0;
+            let slowness = if known { upstream.slowness } else { self.kind_slowness[upstream.kind] };
             let chance = upstream.member.weight / self.largest_weight
                 * upstream.warmth(now, &self.settings)
                 * upstream.returning
-                * (self.tier_slowness / self.slowness(upstream)).powi(2).clamp(SLOW_CHANCE, 1.0);
+                * (self.tier_slowness / slowness).powi(2).clamp(SLOW_CHANCE, 1.0);
             if self.rng.rand_float() < chance && self.cold_allows(now, slot) {
                 return Some(slot);
             }
@@ -930,11 +911,6 @@
         upstream.usable() && !self.ledger.entries.get(&id).is_some_and(had)
     }
 
-    /// Latency over the usual: its own or, before the first, that of its kind.
-    fn slowness(&self, upstream: &Upstream) -> f64 {
-        if upstream.measured > 0.0 { upstream.slowness } else { self.kind_slowness[upstream.kind] }
-    }
-
     /// A member that may be sent to at all, the least busy, when draws found none.
     fn any_left(&mut self, now: f64, id: RequestId, from: &[usize]) -> Option<usize> {
         let mut left: Vec<usize> = from.iter().copied().filter(|&slot| self.open(id, slot)).collect();
@@ -1008,11 +984,8 @@
         let effect = self.settings.classes[entry.class.0].effect;
         let harmless = entry.first_run().is_none()
             || matches!(effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
-        actions.push(if harmless && !wrong {
-            Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after }
-        } else {
-            Action::Fail { request: id }
-        });
+        let refusal = Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after };
+        actions.push(if harmless && !wrong { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
     }
 
@@ -1028,16 +1001,8 @@
         }
     }
 
-    fn attempt_ended(
-        &mut self,
-        now: f64,
-        id: RequestId,
-        number: AttemptNumber,
-        end: Ending,
-        finished: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let outcome = end.outcome;
+    fn attempt_ended(&mut self, now: f64, id: RequestId, end: Ending, actions: &mut Vec<Action>) {
+        let Ending { number, outcome, finished, .. } = end;
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
         let attempt = entry.attempts.get_mut(number.0 as usize);
         let Some(attempt) = attempt.filter(|attempt| attempt.ended.is_none()) else { return };
@@ -1079,7 +1044,7 @@
 
     /// What an outcome tells of its upstream and of the zones.
     fn learn_outcome(&mut self, now: f64, slot: usize, class: ClassId, end: Ending) {
-        let Ending { outcome, took, served } = end;
+        let Ending { outcome, took, served, .. } = end;
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1108,10 +1073,10 @@
         }
         let warm = upstream.warmth(now, &self.settings) >= 1.0;
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
         let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
         group.warm_served += u32::from(warm && outcome == Outcome::Good);
-        let delay = if crowded { took.max(aim) } else { took } / aim;
+        let delay =
+            if matches!(outcome, Outcome::Good | Outcome::Error) { took } else { took.max(aim) } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
         // No work is told by a late connection, nor by a time-out before which it left less than the usual time.
         if outcome == Outcome::ConnectTimedOut {
@@ -1158,7 +1123,6 @@
     fn meet(&mut self, now: f64, class: ClassId, tenant: usize, end: Ending, arrived: f64, connecting: f64) {
         let Ending { outcome, served, .. } = end;
         let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        let late = now - arrived - connecting > aim;
         self.answered.1 += u32::from(outcome == Outcome::ConnectTimedOut);
         let silent = now - self.answered.0 > CROWDING.0 && self.answered.1 >= LATE_IN_A_ROW;
         let bad = match outcome {
@@ -1166,7 +1130,7 @@
             // Late connections tell nothing of a tier that answers others.
             Outcome::ConnectTimedOut if silent => true,
             Outcome::Error => self.tier_failures > CROWDED_ERRORS,
-            Outcome::Good => late,
+            Outcome::Good => now - arrived - connecting > aim,
             _ => return,
         };
         let latency = self.latencies[class.0];
@@ -1236,7 +1200,7 @@
 
     fn sweep(&mut self, now: f64, actions: &mut Vec<Action>) {
         actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-        if self.settings.discovery != DiscoveryMode::Push && now >= self.discovery.ask_at {
+        if self.settings.discovery != DiscoveryMode::Push && now >= self.ask_at {
             self.subscribe(now, actions);
         }
         let unmet = self.suppressors.last_mut().is_some_and(|all| all.accepted_rate(now) == 0.0);
