Cut no limit without a quota before its first second is over

Ruled out: the drain (it had not begun), the listener, the upstreams' threads. Its log shows denials, and a test of the decisions without sockets gives the same: with a first call of 0.2 ms and the others of 10 ms, 60 of 2,400 calls were let in from 4 s on. Cause, in `meet`: what is usual was learned from one call, so that all others passed for a crowd, and a limit without a quota falls to what was let in, counted over a second of which a few tens of milliseconds had passed. Cut to a few calls a second, it learned and rose by those few alone. Change: before a second is over, a call of a tenant without a quota teaches its latency and tells of no crowd. Copies with quotas, whose fair part is a floor, are as they were.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -188,6 +188,11 @@
         (buckets as f64 * self.bucket_s).max(1.0)
     }
 
+    /// Whether its last second is not over yet, so that the rate of what it lets in is not known.
+    fn is_new(&self) -> bool {
+        self.first.is_none_or(|first| self.current < first + LAST_SECOND)
+    }
+
     /// Whether a call fits under the soft limit; of a part of a call, that part of them. A limit of less than
     /// a call a window let a whole one through each, several times the limits over many copies. The die is
     /// cast once a window and admission: cast for each call, denied ones that come again would wear it down.
@@ -1151,7 +1156,10 @@
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
         let fresh = if arrived < self.drops.0 { BEFORE_DROP } else { 1.0 };
-        let weight = (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh;
+        // Without quotas a limit is cut to what was let in, and what is usual is learned from what came first: before a
+        // second is over neither is known.
+        let new = self.limits[tenant].quota.is_none() && self.suppressors[tenant].is_new();
+        let weight = if new { 0.0 } else { (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh };
         let off = sample - self.crowding.0;
         self.crowding.1 += weight * (off * off - self.crowding.1);
         self.crowding.0 += weight * off;
--- a/tests/suppressor.rs
+++ b/tests/suppressor.rs
@@ -516,3 +516,28 @@
         .sum();
     assert!(admitted > 930, "{admitted} of 2550 admitted after a burst that was slow at first");
 }
+
+/// Guards fresh copies without quotas: in the first moments the rate of what was let in is not known yet, and a limit
+/// cut to what a few tens of milliseconds have brought would keep out nearly all for seconds.
+#[test]
+fn a_fresh_limit_is_not_cut_to_what_its_first_moments_brought() {
+    let mut settings = Settings::single_zone(vec![class(Effect::Safe)]);
+    settings.tenants = vec![Tenant { quota: None }];
+    let mut bench = Bench::new(settings, 5, (0..4).map(member).collect());
+    // Eight callers that come again 4 ms after each answer; calls are slower once there are several.
+    let served: Vec<usize> = (0..600)
+        .map(|round| {
+            let took = std::time::Duration::from_micros(if round < 1 { 200 } else { 10_000 });
+            let calls: Vec<_> = (0..8).map(|_| bench.offer(Some(0))).collect();
+            bench.pass(took);
+            let sent: Vec<_> = calls.iter().filter(|(_, actions)| sent(actions).is_some()).collect();
+            for (id, _) in &sent {
+                bench.end(*id, 0, Outcome::Good, took);
+            }
+            bench.pass(millis(4));
+            sent.len()
+        })
+        .collect();
+    let later: usize = served[300..].iter().sum();
+    assert!(later > 300 * 8 / 4, "{later} of {} were let in after the first moments", 300 * 8);
+}
