Hosts of the distribution: origin, relay, client and commands over sockets

Need: the core takes words and gives answers; something has to hold sockets, timers and the disk. Change: an origin over a redb store (each commit synced), a relay, one server of watches and reports for both, the child's client, and the commands with their exit status.

--- a/crates/distribution/src/host/mod.rs
+++ b/crates/distribution/src/host/mod.rs
@@ -1,3 +1,10 @@
-//! Hosts around the core: sockets, timers, disk.
+//! Hosts around the core: sockets, timers, disk. They decide nothing.
 
+pub mod call;
+pub mod client;
+pub mod log;
+pub mod origin;
+pub mod relay;
+pub mod server;
+pub mod store;
 pub mod watch;
--- /dev/null
+++ b/crates/distribution/src/host/store.rs
@@ -0,0 +1,190 @@
+//! What a process keeps on disk: records by index in one table of a redb file, each commit synced. redb keeps the last
+//! good commit beside the one that is being written and checks both by digest, so that a torn write leaves the former.
+
+use std::collections::BTreeSet;
+use std::fs::{self, File};
+use std::io;
+use std::path::Path;
+
+use redb::{Builder, Database, DatabaseError, ReadableTable, StorageError, TableDefinition};
+use thiserror::Error;
+
+use crate::origin::Record;
+
+const RECORDS: TableDefinition<u64, &[u8]> = TableDefinition::new("records");
+/// Figures by name; `index` is the one that the process stood at.
+const FIGURES: TableDefinition<&str, u64> = TableDefinition::new("figures");
+/// The file in the directory.
+const FILE: &str = "configuration.redb";
+/// Bytes of the file that are held in memory; records are read once, at the start.
+const CACHE: usize = 4 << 20;
+
+/// Why the store cannot be used.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// The file or its directory.
+    #[error("{0}")]
+    Database(Box<redb::Error>),
+    /// A record that is none.
+    #[error("record {index}: {error}")]
+    Record {
+        /// Its index.
+        index: u64,
+        /// Why.
+        error: serde_json::Error,
+    },
+}
+
+impl<E: Into<redb::Error>> From<E> for StoreError {
+    fn from(error: E) -> Self {
+        Self::Database(Box::new(error.into()))
+    }
+}
+
+impl StoreError {
+    /// Whether the disk takes nothing more.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+        let Self::Database(error) = self else { return false };
+        let redb::Error::Io(error) = &**error else { return false };
+        matches!(error.kind(), StorageFull | QuotaExceeded | FileTooLarge)
+    }
+}
+
+/// What became of a write.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It is on disk, synced.
+    Written,
+    /// It is not on disk, which was looked at after the failure.
+    NotWritten(StoreError),
+    /// It cannot be known; a repeat of the write finds out.
+    Unknown(StoreError),
+}
+
+type Open = Box<dyn Fn() -> Result<Database, DatabaseError> + Send>;
+
+/// The records on disk.
+pub struct Store {
+    open: Open,
+    /// None after a failure, until the file has been opened anew.
+    database: Option<Database>,
+    indexes: BTreeSet<u64>,
+}
+
+/// What was found at the start.
+#[derive(Debug, Default)]
+pub struct Found {
+    /// In the order of their indexes.
+    pub records: Vec<Record>,
+    /// The index that the process stood at, if it kept one.
+    pub index: u64,
+}
+
+impl Store {
+    /// In a directory, which is made if need be.
+    ///
+    /// # Errors
+    /// The disk, or what stands in the file; another process has it open.
+    pub fn at(directory: &Path) -> Result<(Self, Found), StoreError> {
+        fs::create_dir_all(directory)?;
+        let path = directory.join(FILE);
+        let opened = Self::over(move || Builder::new().set_cache_size(CACHE).create(&path))?;
+        // The file's name is to outlast a loss of power as well.
+        File::open(directory)?.sync_all()?;
+        Ok(opened)
+    }
+
+    /// Over what `open` opens, which is asked again after each failure.
+    ///
+    /// # Errors
+    /// As [`Store::at`].
+    pub fn over(
+        open: impl Fn() -> Result<Database, DatabaseError> + Send + 'static,
+    ) -> Result<(Self, Found), StoreError> {
+        let mut store = Self { open: Box::new(open), database: None, indexes: BTreeSet::new() };
+        let found = store.read()?;
+        Ok((store, found))
+    }
+
+    /// The indexes of the records on disk.
+    pub fn indexes(&self) -> impl Iterator<Item = u64> {
+        self.indexes.iter().copied()
+    }
+
+    /// Writes records and deletes others, all or nothing, and syncs; where that fails, looks at what is on disk.
+    pub fn write(&mut self, records: &[Record], delete: &[u64], index: Option<u64>) -> Outcome {
+        let Err(error) = self.commit(records, delete, index) else { return Outcome::Written };
+        // The file is read anew from the disk's side: the failed handle knows what it meant to write.
+        self.database = None;
+        match self.read() {
+            Err(_) => Outcome::Unknown(error),
+            Ok(_) if !records.iter().all(|record| self.indexes.contains(&record.index)) => {
+                Outcome::NotWritten(error)
+            }
+            // It reads well, which a failed sync does not rule out: written again, it is known.
+            Ok(_) => match self.commit(records, delete, index) {
+                Ok(()) => Outcome::Written,
+                Err(error) => {
+                    self.database = None;
+                    Outcome::Unknown(error)
+                }
+            },
+        }
+    }
+
+    fn commit(&mut self, records: &[Record], delete: &[u64], index: Option<u64>) -> Result<(), StoreError> {
+        let transaction = self.database()?.begin_write()?;
+        {
+            let mut table = transaction.open_table(RECORDS)?;
+            for &gone in delete {
+                table.remove(gone)?;
+            }
+            for record in records {
+                let text = serde_json::to_vec(record)
+                    .map_err(|error| StoreError::Record { index: record.index, error })?;
+                table.insert(record.index, &*text)?;
+            }
+            if let Some(index) = index {
+                transaction.open_table(FIGURES)?.insert("index", index)?;
+            }
+        }
+        transaction.commit()?;
+        self.indexes.retain(|index| !delete.contains(index));
+        self.indexes.extend(records.iter().map(|record| record.index));
+        Ok(())
+    }
+
+    fn read(&mut self) -> Result<Found, StoreError> {
+        let transaction = self.database()?.begin_read()?;
+        let missing = |error: &redb::TableError| matches!(error, redb::TableError::TableDoesNotExist(_));
+        let mut found = Found::default();
+        match transaction.open_table(RECORDS) {
+            Err(error) if missing(&error) => {}
+            table => {
+                for entry in table?.iter()? {
+                    let (index, text) = entry?;
+                    let index = index.value();
+                    let record = serde_json::from_slice(text.value())
+                        .map_err(|error| StoreError::Record { index, error })?;
+                    found.records.push(record);
+                }
+            }
+        }
+        match transaction.open_table(FIGURES) {
+            Err(error) if missing(&error) => {}
+            table => found.index = table?.get("index")?.map_or(0, |index| index.value()),
+        }
+        self.indexes = found.records.iter().map(|record| record.index).collect();
+        Ok(found)
+    }
+
+    fn database(&mut self) -> Result<&Database, StoreError> {
+        if self.database.is_none() {
+            self.database = Some((self.open)()?);
+        }
+        // It has just been opened.
+        self.database.as_ref().ok_or_else(|| StorageError::PreviousIo.into())
+    }
+}
--- a/crates/distribution/src/host/watch.rs
+++ b/crates/distribution/src/host/watch.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
-use hyper::{Request, StatusCode, header};
+use hyper::{HeaderMap, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -59,6 +59,23 @@
 pub async fn follow<I, E>(
     stream: I,
     ask: Ask,
+    line: impl FnMut(&[u8]) -> Result<(), E>,
+) -> Result<Infallible, WatchError<E>>
+where
+    I: AsyncRead + AsyncWrite + Unpin,
+    E: std::error::Error,
+{
+    follow_checked(stream, ask, |_| Ok(()), line).await
+}
+
+/// As [`follow`], for a reader that looks at the answer's head first.
+///
+/// # Errors
+/// Always: why it ended.
+pub async fn follow_checked<I, E>(
+    stream: I,
+    ask: Ask,
+    head: impl FnOnce(&HeaderMap) -> Result<(), E>,
     mut line: impl FnMut(&[u8]) -> Result<(), E>,
 ) -> Result<Infallible, WatchError<E>>
 where
@@ -77,6 +94,7 @@
         if response.status() != StatusCode::OK {
             return Err(WatchError::Status(response.status()));
         }
+        head(response.headers()).map_err(WatchError::Line)?;
         let mut body = response.into_body();
         let mut text: Vec<u8> = Vec::new();
         loop {
@@ -87,6 +105,9 @@
             while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
                 text.extend_from_slice(&rest[..end]);
                 rest = &rest[end + 1..];
+                if text.len() > ask.line_most {
+                    return Err(WatchError::LongLine);
+                }
                 line(text.trim_ascii()).map_err(WatchError::Line)?;
                 // Only a whole line is a sign of life.
                 by = Instant::now() + ask.silence;
--- /dev/null
+++ b/crates/distribution/tests/hosts_common/mod.rs
@@ -0,0 +1,309 @@
+//! Real processes and children on loopback, for the tests of the hosts.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fennelhatch_distribution::document::Scope;
+use fennelhatch_distribution::host::call::{Call, CallError, call_to};
+use fennelhatch_distribution::host::client::{self, Client};
+use fennelhatch_distribution::report::InForce;
+use fennelhatch_distribution::state::State;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// What must happen has so long; nothing is proven by its passing.
+pub const WITHIN: Duration = Duration::from_secs(25);
+
+/// Runs a test to its end, on one thread.
+pub fn play<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// Waits for what must happen.
+pub async fn within<T>(what: &str, happens: impl Future<Output = T>) -> T {
+    timeout(WITHIN, happens).await.unwrap_or_else(|_| panic!("did not happen: {what}"))
+}
+
+/// An address of this test's own, so that a process that is started again finds its port free.
+pub fn address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    let pid = std::process::id();
+    let octet = |value: u32| u8::try_from(value & 0xff).expect("eight bits");
+    let ip = Ipv4Addr::new(127, 64 | octet(pid >> 8) & 63, octet(pid), octet(next));
+    SocketAddr::new(IpAddr::V4(ip), 9100)
+}
+
+/// A directory of this test's own.
+pub struct Directory(PathBuf);
+
+impl Directory {
+    pub fn new(name: &str) -> Self {
+        let path =
+            Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("hosts-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).expect("a directory");
+        Self(path)
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+pub fn binary() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_fennelhatch-distribution"))
+}
+
+/// A process of the binary, which ends with the test.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    log: Arc<Mutex<String>>,
+}
+
+impl Process {
+    pub fn start(arguments: &[&str], address: SocketAddr) -> Self {
+        let mut child = binary()
+            .args(arguments)
+            .args(["--listen", &address.to_string()])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let log = Arc::new(Mutex::new(String::new()));
+        let errors = child.stderr.take().expect("a pipe");
+        let into = Arc::clone(&log);
+        std::thread::spawn(move || collect(errors, &into));
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().expect("a pipe")).read_line(&mut line).expect("a line");
+        let mut process = Self { child, address, log };
+        assert!(line.starts_with("listening on "), "{line:?}, {}", process.ended_badly());
+        process
+    }
+
+    pub fn origin(directory: &Directory, address: SocketAddr) -> Self {
+        Self::start(&["origin", "--dir", directory.path().to_str().expect("UTF-8")], address)
+    }
+
+    pub fn relay(level: u32, parents: &[SocketAddr], address: SocketAddr) -> Self {
+        let mut arguments = vec!["relay".to_owned(), "--level".to_owned(), level.to_string()];
+        arguments.extend(parents.iter().flat_map(|parent| ["--parent".to_owned(), parent.to_string()]));
+        let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        Self::start(&arguments, address)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success(), "signal {name}");
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it can be killed");
+        self.child.wait().expect("it ends");
+    }
+
+    /// Its end, which must come by itself.
+    pub async fn end(&mut self) -> ExitStatus {
+        within("the process ends", async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+                    return status;
+                }
+                sleep(Duration::from_millis(5)).await;
+            }
+        })
+        .await
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Waits for a text in its log.
+    pub async fn says(&self, text: &str) {
+        let said = async {
+            while !self.log().contains(text) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        if timeout(WITHIN, said).await.is_err() {
+            panic!("it did not say {text:?}: {}", self.log());
+        }
+    }
+
+    fn ended_badly(&mut self) -> String {
+        let _ = self.child.kill();
+        let status = self.child.wait();
+        std::thread::sleep(Duration::from_millis(50));
+        format!("{status:?} {}", self.log())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn collect(errors: ChildStderr, into: &Mutex<String>) {
+    for line in BufReader::new(errors).lines().map_while(Result::ok) {
+        let mut log = into.lock().unwrap_or_else(PoisonError::into_inner);
+        log.push_str(&line);
+        log.push('\n');
+    }
+}
+
+/// Asks for a change; `None` withdraws.
+pub async fn change(
+    to: SocketAddr,
+    scope: &str,
+    body: Option<&str>,
+    id: &str,
+    if_version: Option<u64>,
+) -> Result<(StatusCode, Value), CallError> {
+    let version = if_version.map(|version| version.to_string());
+    let mut headers = vec![("x-request-id", id)];
+    headers.extend(version.as_deref().map(|version| ("if-match", version)));
+    let asked = Call {
+        method: if body.is_some() { Method::PUT } else { Method::DELETE },
+        host: to.to_string(),
+        path: &format!("/configuration/{scope}"),
+        headers: &headers,
+        body: Bytes::from(body.unwrap_or_default().to_owned()),
+    };
+    let (status, text) = call_to(to, Duration::from_secs(10), asked).await?;
+    Ok((status, serde_json::from_slice(&text).unwrap_or(Value::Null)))
+}
+
+/// A document that says a number.
+pub fn document(number: u64) -> String {
+    json!({ "settings": { "overShareWorth": number } }).to_string()
+}
+
+/// A document of about so many bytes.
+pub fn big_document(bytes: usize) -> String {
+    json!({ "settings": { "projects": ["x".repeat(bytes)] } }).to_string()
+}
+
+/// Publishes; it must be accepted.
+pub async fn publish(to: SocketAddr, scope: &str, body: &str, id: &str) -> u64 {
+    let (status, answer) = change(to, scope, Some(body), id, None).await.expect("an answer");
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    answer["index"].as_u64().expect("an index")
+}
+
+pub async fn get(to: SocketAddr, path: &str) -> Result<(StatusCode, Value), CallError> {
+    let asked = Call { method: Method::GET, host: to.to_string(), path, headers: &[], body: Bytes::new() };
+    let (status, text) = call_to(to, Duration::from_secs(10), asked).await?;
+    Ok((status, serde_json::from_slice(&text).unwrap_or(Value::Null)))
+}
+
+/// Asks for what is in force below until it is as it must be.
+pub async fn status_until(to: SocketAddr, what: &str, fits: impl Fn(&Value) -> bool) {
+    let mut last = Value::Null;
+    let asked = async {
+        loop {
+            if let Ok((StatusCode::OK, status)) = get(to, "/configuration/report").await {
+                if fits(&status) {
+                    return;
+                }
+                last = status;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    if timeout(WITHIN, asked).await.is_err() {
+        panic!("did not happen: {what}; {last}");
+    }
+}
+
+/// A child: the balancer's side, in this process.
+pub struct Follower {
+    states: mpsc::UnboundedReceiver<State>,
+    connects: mpsc::UnboundedReceiver<SocketAddr>,
+    pub state: State,
+    task: JoinHandle<()>,
+}
+
+impl Follower {
+    pub fn start(name: &str, parents: &[SocketAddr], scopes: &[&str], seed: u64) -> Self {
+        let wanted = scopes.iter().map(|scope| scope.parse().expect("a scope")).collect();
+        let client = Client { name: name.to_owned(), parents: parents.to_vec(), wanted, seed };
+        let (sender, states) = mpsc::unbounded_channel();
+        let (called, connects) = mpsc::unbounded_channel();
+        let who: Box<str> = name.into();
+        let task = spawn_local(async move {
+            let scopes = client.wanted.clone();
+            let connect = |address| {
+                let _ = called.send(address);
+                TcpStream::connect(address)
+            };
+            let take = |state: &State, _: &[Scope]| {
+                let _ = sender.send(state.clone());
+                let version =
+                    |scope: &Scope| (scope.clone(), state.get(scope).map_or(0, |document| document.version));
+                let versions: BTreeMap<Scope, u64> = scopes.iter().map(version).collect();
+                InForce { who: who.clone(), versions, refused: None }
+            };
+            match client::run(client, connect, take).await {}
+        });
+        Self { states, connects, state: State::default(), task }
+    }
+
+    /// Waits for a state that is as it must be; each one on the way is whole and no older than the one before.
+    pub async fn until(&mut self, what: &str, fits: impl Fn(&State) -> bool) {
+        let followed = async {
+            while !fits(&self.state) {
+                let next = self.states.recv().await.expect("the child goes on");
+                assert!(next.index() >= self.state.index(), "the index went back");
+                assert!(next.documents().all(|document| document.is_whole()), "a document is damaged");
+                self.state = next;
+            }
+        };
+        if timeout(WITHIN, followed).await.is_err() {
+            panic!("did not happen: {what}; {:?}", self.state);
+        }
+    }
+
+    pub async fn until_index(&mut self, index: u64) {
+        self.until(&format!("index {index}"), |state| state.index() >= index).await;
+    }
+
+    /// Waits until it calls a parent.
+    pub async fn calls(&mut self, parent: SocketAddr) {
+        within("a call", async { while self.connects.recv().await.expect("the child goes on") != parent {} })
+            .await;
+    }
+
+    pub fn body(&self, scope: &str) -> Option<String> {
+        self.state.get(&scope.parse().expect("a scope")).map(|document| document.body.to_string())
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
