Decisions: other settings in a running copy, by an event

A change of configuration could be in force only after a restart. Event::Reconfigured brings other settings: positions keep their meaning, a successor that makes no sense changes nothing but the log. A request held keeps the settings that it was taken under: effect, window, scope, aim, and no more attempts. A tenant's learned limit stays in parts of its quota: a lower one holds at once, a higher one is had as far as a new copy begins, what was cut stays cut. Latencies, health, crowding and budgets stay; the subset is laid anew only with another number of copies.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
-use std::mem::take;
+use std::mem::{replace, take};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,8 +18,9 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::{
-    Action, Allowed, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId, ListUpdate,
-    Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time, UpstreamId,
+    Action, Allowed, AttemptNumber, Class, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId,
+    ListUpdate, Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time,
+    UpstreamId,
 };
 
 // --- Constants: unit and reason. Figures of a site come with the settings, never from here. ---
@@ -238,7 +239,7 @@
 // --- 2. Learned limit ---
 
 /// A rate limit learned from what becomes of the calls.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct LearnedLimit {
     rate: f64,
     /// The fair part of a quota, bare and with its chance, where there is one.
@@ -262,6 +263,17 @@
         Self { rate, fair, quota: Some(quota), ceiling, usual: 0.0 }
     }
 
+    /// What it becomes under other settings, where a new copy has `fresh`: what was learned stays, in parts of the quota. A
+    /// lower quota holds at once; to a higher one it goes up at once as far as a new copy begins, and rises from there.
+    fn under(self, fresh: Self) -> Self {
+        let rate = match self.quota.zip(fresh.quota) {
+            Some(_) => (self.rate * (fresh.fair / self.fair)).min(self.rate.max(fresh.rate)),
+            None if self.quota.is_some() => fresh.rate,
+            None => self.rate.min(fresh.rate),
+        };
+        Self { rate: rate.min(fresh.ceiling), usual: self.usual, ..fresh }
+    }
+
     fn rise(&mut self) {
         // Below the fair part the calls denied are the ones that count: come back from a jam faster.
         let rise = if self.quota.is_some_and(|quota| self.rate < quota) { RISE.1 } else { RISE.0 };
@@ -293,6 +305,21 @@
     1.0 + (copies.ln().max(1.0) - 1.0) * fair / (fair + NOTICE)
 }
 
+/// The limits with which a copy begins: of each tenant and, last, of all together, at first their fair parts, in a crowd
+/// less.
+fn limits(settings: &Settings) -> Vec<LearnedLimit> {
+    let quotas = settings.tenants.iter().map(|tenant| tenant.quota);
+    let mut limits: Vec<_> = quotas.clone().map(|quota| LearnedLimit::new(settings, quota)).collect();
+    let mut all = LearnedLimit::new(settings, quotas.sum());
+    if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
+        all.quota = Some(all.fair);
+        all.rate = all.fair * busiest(settings);
+        all.ceiling = all.rate * (1.0 + EXCESS * all.fair / (all.fair + NOTICE));
+    }
+    limits.push(all);
+    limits
+}
+
 fn between(rng: &mut Rand64, (low, high): (f64, f64)) -> f64 {
     low + (high - low) * rng.rand_float()
 }
@@ -419,10 +446,6 @@
         }
     }
 
-    fn usable(&self) -> bool {
-        self.member.phase == Phase::Ready
-    }
-
     /// It is within reach: what connect timeouts alone made of it is over.
     fn reached(&mut self) {
         if self.late_connects >= LATE_IN_A_ROW && self.failures < FAIL_OVER.0 {
@@ -436,8 +459,7 @@
         let Some(started) = self.member.started else { return 1.0 };
         let age = (now - started.as_secs_f64()).max(0.0);
         let share = settings.rules.cold_share;
-        let time = settings.rules.cold_time.as_secs_f64().max(1e-6);
-        (share + (1.0 - share) * age / time).min(1.0)
+        (share + (1.0 - share) * age / settings.rules.cold_time.as_secs_f64().max(1e-6)).min(1.0)
     }
 
     /// Whether an open connection has room for another attempt.
@@ -473,18 +495,22 @@
     withdrawn: bool,
 }
 
-/// How an attempt ended, after how long, for how long of that it had a connection, and whether its request ended too.
+/// How an attempt ended, after how long, for how long of that it had a connection, the aim of its request, and whether
+/// that ended too.
 #[derive(Debug, Clone, Copy)]
 struct Ending {
     number: AttemptNumber,
     outcome: Outcome,
     took: f64,
     served: f64,
+    aim: f64,
     finished: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Entry {
+    /// Those that it was taken under: no later ones let more of its attempts run.
+    settings: Arc<Settings>,
     class: ClassId,
     tenant: usize,
     arrived: f64,
@@ -498,6 +524,18 @@
 }
 
 impl Entry {
+    fn rules(&self) -> &Class {
+        &self.settings.classes[self.class.0]
+    }
+
+    /// The time until which an answer is worth waiting for.
+    fn useful_until(&self) -> f64 {
+        let aim = self.arrived + self.rules().aim.as_secs_f64();
+        // Where no deadline is passed on, a caller's slot would be held for a client long gone.
+        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
+        if self.rules().late_worth > 0.0 && !blind { self.deadline } else { self.deadline.min(aim) }
+    }
+
     /// The first attempt not proved never to have run: it binds those that follow.
     fn first_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|attempt| attempt.ended.is_none_or(|outcome| !outcome.never_ran()))
@@ -551,7 +589,7 @@
 /// One copy's decisions.
 #[derive(Debug)]
 pub struct Balancer {
-    settings: Settings,
+    settings: Arc<Settings>,
     rng: Rand64,
     suppressors: Vec<Suppressor>,
     limits: Vec<LearnedLimit>,
@@ -586,18 +624,10 @@
     /// The settings make no sense.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let mut limits: Vec<_> =
-            settings.tenants.iter().map(|tenant| LearnedLimit::new(&settings, tenant.quota)).collect();
-        let mut suppressors: Vec<_> = limits.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
-        // The last is for all tenants together: at first their fair parts, in a crowd less.
-        let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
-        if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
-            all.quota = Some(all.fair);
-            all.rate = all.fair * busiest(&settings);
-            all.ceiling = all.rate * (1.0 + EXCESS * all.fair / (all.fair + NOTICE));
-        }
-        suppressors.push(Suppressor::new(BUCKET_S * (CALLS / (all.fair * WINDOW_S)).clamp(1.0, 4.0)));
-        limits.push(all);
+        let limits = limits(&settings);
+        let mut suppressors: Vec<_> = settings.tenants.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
+        let fair = limits[suppressors.len()].fair;
+        suppressors.push(Suppressor::new(BUCKET_S * (CALLS / (fair * WINDOW_S)).clamp(1.0, 4.0)));
         Ok(Self {
             rng: Rand64::new(u128::from(seed)),
             suppressors,
@@ -618,7 +648,7 @@
             ask_at: 0.0,
             backoff_s: 0.0,
             largest_weight: 1.0,
-            settings,
+            settings: Arc::new(settings),
         })
     }
 
@@ -626,12 +656,7 @@
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         let now = now.as_secs_f64();
         match event {
-            Event::Started => {
-                actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-                if self.settings.discovery != DiscoveryMode::Push {
-                    self.subscribe(now, actions);
-                }
-            }
+            Event::Started => self.keep_going(now, actions),
             Event::List(update) => self.learn_list(now, update),
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
@@ -644,7 +669,9 @@
             Event::AttemptEnded { request, attempt: number, outcome, took, connecting, finished, .. } => {
                 let unconnected = if outcome == Outcome::ConnectTimedOut { took } else { connecting };
                 let served = took.saturating_sub(unconnected).as_secs_f64();
-                let end = Ending { number, outcome, took: took.as_secs_f64(), served, finished };
+                let Some(entry) = self.ledger.entries.get(&request) else { return };
+                let (took, aim) = (took.as_secs_f64(), entry.rules().aim.as_secs_f64());
+                let end = Ending { number, outcome, took, served, aim, finished };
                 self.attempt_ended(now, request, end, actions);
             }
             Event::Connected(upstream) => {
@@ -654,10 +681,31 @@
             }
             Event::ClientLeft(request) => self.close(request, actions),
             Event::Wake => self.sweep(now, actions),
+            Event::Reconfigured(settings) => match settings.may_follow(&self.settings) {
+                Ok(()) => self.reconfigure(settings),
+                Err(why) => actions.push(Action::Log(format!("other settings were not taken over: {why}"))),
+            },
             Event::Probed { .. } | Event::Message { .. } => {}
         }
     }
 
+    /// Goes by other settings for what follows. Requests held keep theirs, and what was learned of what stays, stays.
+    fn reconfigure(&mut self, settings: Settings) {
+        let (before, after) = (self.settings.tenants.len(), settings.tenants.len());
+        let fresh = limits(&settings);
+        // New tenants come before the last place, which is that of all together.
+        drop(self.limits.splice(before..before, fresh[before..after].iter().copied()));
+        drop(self.suppressors.splice(before..before, (before..after).map(|_| Suppressor::new(BUCKET_S))));
+        for (limit, fresh) in self.limits.iter_mut().zip(fresh) {
+            *limit = limit.under(fresh);
+        }
+        self.latencies.resize(settings.classes.len(), Latency::default());
+        let laid_from = replace(&mut self.settings, Arc::new(settings)).copies;
+        if laid_from != self.settings.copies && self.subset.stay.is_some() {
+            self.rebuild();
+        }
+    }
+
     /// How the limits and the tier stand, for the operator's log.
     #[must_use]
     pub fn vitals(&self) -> String {
@@ -669,9 +717,13 @@
 
     // --- Discovery ---
 
-    fn subscribe(&mut self, now: f64, actions: &mut Vec<Action>) {
-        actions.push(Action::Subscribe);
-        self.ask_at = now + self.ask_within();
+    /// Asks for the next sweep and, where it is time, for the list.
+    fn keep_going(&mut self, now: f64, actions: &mut Vec<Action>) {
+        actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
+        if self.settings.discovery != DiscoveryMode::Push && now >= self.ask_at {
+            actions.push(Action::Subscribe);
+            self.ask_at = now + self.ask_within();
+        }
     }
 
     fn ask_within(&self) -> f64 {
@@ -688,9 +740,8 @@
             let own = self.settings.discovery == DiscoveryMode::Agent;
             let most = if own { 0.0 } else { self.ask_within().max(RESUBSCRIBE_S) };
             let before = if moved { 0.0 } else { self.backoff_s };
-            let backoff_s = (before * 2.0).max(RESUBSCRIBE_S).min(most);
-            self.ask_at = now + between(&mut self.rng, (backoff_s / 2.0, backoff_s));
-            self.backoff_s = backoff_s;
+            self.backoff_s = (before * 2.0).max(RESUBSCRIBE_S).min(most);
+            self.ask_at = now + between(&mut self.rng, (self.backoff_s / 2.0, self.backoff_s));
             return;
         };
         if !stale {
@@ -708,9 +759,7 @@
     fn learn_member(&mut self, now: f64, member: Member) {
         if let Some(&slot) = self.slots.get(&member.id) {
             let upstream = &mut self.upstreams[slot];
-            let restarted = upstream.member.started != member.started;
-            upstream.member = member;
-            if restarted {
+            if replace(&mut upstream.member, member).started != member.started {
                 // A new process knows nothing of what the old one did.
                 let Upstream { in_flight, home, kind, .. } = *upstream;
                 *upstream = Upstream { in_flight, home, kind, ..Upstream::new(member, now, &mut self.rng) };
@@ -724,7 +773,7 @@
         }
     }
 
-    /// Lays out the subset anew; only a list event calls it.
+    /// Lays out the subset anew, after a list event or with another number of copies.
     fn rebuild(&mut self) {
         let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
         order.sort_unstable();
@@ -733,7 +782,7 @@
         let (mut home, mut away) = (Vec::new(), Vec::new());
         for (id, slot) in order {
             let upstream = &mut self.upstreams[slot];
-            if !upstream.usable() {
+            if upstream.member.phase != Phase::Ready {
                 if upstream.member.phase == Phase::Gone && upstream.in_flight == 0 {
                     self.slots.remove(&id);
                     self.free.push(slot);
@@ -776,11 +825,16 @@
         let last = self.settings.tenants.len().saturating_sub(1);
         let tenant = request.tenant.map_or(0, |TenantId(tenant)| tenant.min(last));
         let entry = Entry {
+            settings: Arc::clone(&self.settings),
             class: request.class,
             tenant,
             arrived: now,
             deadline: now + request.time_left.as_secs_f64(),
-            ..Entry::default()
+            attempts: Vec::new(),
+            connecting: 0.0,
+            out: 0,
+            closed: false,
+            streaming: false,
         };
         self.ledger.entries.insert(request.id, entry);
         let admitted = self.admit(now, request.id, tenant);
@@ -817,7 +871,7 @@
     /// that it has suffices: what can't end in time keeps others out, but a usual time learned too long must not stand.
     fn is_hopeful(&mut self, now: f64, id: RequestId) -> bool {
         let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let left = self.useful_until(entry) - now;
+        let left = entry.useful_until() - now;
         let usual = self.latencies[entry.class.0].seconds() * self.crowding.0.clamp(0.0, 1.0).exp();
         left >= usual || left > usual * self.rng.rand_float()
     }
@@ -826,20 +880,11 @@
         self.pick(now, id).is_some_and(|slot| self.send(now, id, slot, actions))
     }
 
-    /// The time until which an answer is worth waiting for.
-    fn useful_until(&self, entry: &Entry) -> f64 {
-        let class = &self.settings.classes[entry.class.0];
-        let aim = entry.arrived + class.aim.as_secs_f64();
-        // Where no deadline is passed on, a caller's slot would be held for a client long gone.
-        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
-        if class.late_worth > 0.0 && !blind { entry.deadline } else { entry.deadline.min(aim) }
-    }
-
     /// Picks an upstream: two draws from the own zone's members or, for what the own zone's suppressor
     /// declines, from the others; then whatever is left.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
-        if let Effect::Keyed { scope, .. } = self.settings.classes[entry.class.0].effect
+        if let Effect::Keyed { scope, .. } = entry.rules().effect
             && let Some(&Attempt { member, .. }) = entry.first_run().filter(|_| scope != DedupScope::All)
         {
             let kin = |&&slot: &&usize| {
@@ -908,7 +953,7 @@
     fn open(&self, id: RequestId, slot: usize) -> bool {
         let upstream = &self.upstreams[slot];
         let had = |entry: &Entry| entry.attempts.iter().any(|tried| tried.member.id == upstream.member.id);
-        upstream.usable() && !self.ledger.entries.get(&id).is_some_and(had)
+        upstream.member.phase == Phase::Ready && !self.ledger.entries.get(&id).is_some_and(had)
     }
 
     /// A member that may be sent to at all, the least busy, when draws found none.
@@ -929,34 +974,30 @@
         }
         let group = if upstream.home { &self.subset.home } else { &self.subset.away };
         let rate = warmth * group.warm_rate;
-        let most = 1.0 + rate * 0.5;
-        upstream.tokens = (upstream.tokens + rate * (now - upstream.tokens_at)).min(most);
+        upstream.tokens = (upstream.tokens + rate * (now - upstream.tokens_at)).min(1.0 + rate * 0.5);
         upstream.tokens_at = now;
         upstream.tokens >= 1.0
     }
 
     /// The ONE gate that every attempt passes; it keeps the rules on effects, drains and cold upstreams.
     fn send(&mut self, now: f64, id: RequestId, slot: usize, actions: &mut Vec<Action>) -> bool {
-        if !self.cold_allows(now, slot) {
-            return false;
-        }
-        let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let class = &self.settings.classes[entry.class.0];
-        let upstream = &self.upstreams[slot];
-        let timeout = self.useful_until(entry) - now;
-        if timeout < LEAST_S
+        let too_cold = !self.cold_allows(now, slot);
+        let Some(entry) = self.ledger.entries.get_mut(&id) else { return false };
+        let upstream = &mut self.upstreams[slot];
+        let timeout = entry.useful_until() - now;
+        let allowed = self.settings.allowed.attempts.min(entry.settings.allowed.attempts) as usize;
+        let left = may_repeat(now, entry.rules().effect, entry.first_run(), &upstream.member);
+        if too_cold
+            || left.is_none()
+            || timeout < LEAST_S
             || entry.closed
             || entry.streaming
-            || !upstream.usable()
-            || entry.attempts.len() >= self.settings.allowed.attempts as usize
+            || upstream.member.phase != Phase::Ready
+            || entry.attempts.len() >= allowed
             || (entry.out > 0 && !self.settings.allowed.second_copies)
         {
             return false;
         }
-        let Some(left) = may_repeat(now, class.effect, entry.first_run(), &upstream.member) else {
-            return false;
-        };
-        let upstream = &mut self.upstreams[slot];
         if upstream.in_flight == 0 {
             upstream.heard = now;
         }
@@ -968,12 +1009,10 @@
         self.subset.in_flight += 1;
         upstream.tokens -= 1.0;
         let member = upstream.member;
-        let most = self.ready.len().min(self.settings.allowed.attempts as usize);
-        let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt { slot, member, sent: now, ended: None, withdrawn: false });
         entry.out += 1;
-        let last = entry.attempts.len() >= most || self.ledger.budgets[1] < 1.0;
-        let [timeout, begin_within] = [timeout, left].map(|span| Duration::try_from_secs_f64(span).ok());
+        let last = entry.attempts.len() >= self.ready.len().min(allowed) || self.ledger.budgets[1] < 1.0;
+        let [timeout, begin_within] = [Some(timeout), left].map(|s| Duration::try_from_secs_f64(s?).ok());
         actions.push(Action::Send { request: id, upstream: member.id, timeout, begin_within, last });
         true
     }
@@ -981,9 +1020,8 @@
     /// The ONE path that ends a request unserved: refused where that is true and invites no wrong one again.
     fn finish(&mut self, id: RequestId, wrong: bool, actions: &mut Vec<Action>) {
         let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
-        let effect = self.settings.classes[entry.class.0].effect;
         let harmless = entry.first_run().is_none()
-            || matches!(effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
+            || matches!(entry.rules().effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
         let refusal = Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after };
         actions.push(if harmless && !wrong { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
@@ -1044,7 +1082,7 @@
 
     /// What an outcome tells of its upstream and of the zones.
     fn learn_outcome(&mut self, now: f64, slot: usize, class: ClassId, end: Ending) {
-        let Ending { outcome, took, served, .. } = end;
+        let Ending { outcome, took, served, aim, .. } = end;
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1072,7 +1110,6 @@
             return;
         }
         let warm = upstream.warmth(now, &self.settings) >= 1.0;
-        let aim = self.settings.classes[class.0].aim.as_secs_f64();
         let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
         group.warm_served += u32::from(warm && outcome == Outcome::Good);
         let delay =
@@ -1121,8 +1158,7 @@
 
     /// What the end of a call tells of the crowd that it met, and so of the limits.
     fn meet(&mut self, now: f64, class: ClassId, tenant: usize, end: Ending, arrived: f64, connecting: f64) {
-        let Ending { outcome, served, .. } = end;
-        let aim = self.settings.classes[class.0].aim.as_secs_f64();
+        let Ending { outcome, served, aim, .. } = end;
         self.answered.1 += u32::from(outcome == Outcome::ConnectTimedOut);
         let silent = now - self.answered.0 > CROWDING.0 && self.answered.1 >= LATE_IN_A_ROW;
         let bad = match outcome {
@@ -1199,10 +1235,7 @@
     // --- Sweep ---
 
     fn sweep(&mut self, now: f64, actions: &mut Vec<Action>) {
-        actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-        if self.settings.discovery != DiscoveryMode::Push && now >= self.ask_at {
-            self.subscribe(now, actions);
-        }
+        self.keep_going(now, actions);
         let unmet = self.suppressors.last_mut().is_some_and(|all| all.accepted_rate(now) == 0.0);
         let faded = self.crowding.0 * if unmet { 1.0 - SWEEP_S / CROWDING.0 } else { 1.0 };
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
@@ -1230,9 +1263,8 @@
         self.subset.learn_stay(self.settings.prices.cross_zone, &mut self.rng);
         for group in [&mut self.subset.home, &mut self.subset.away] {
             let warm = group.members.iter().filter(|&slot| has(slot) >= 1.0).count();
-            let rate = f64::from(group.warm_served) / SWEEP_S / warm.max(1) as f64;
+            let rate = f64::from(take(&mut group.warm_served)) / SWEEP_S / warm.max(1) as f64;
             group.warm_rate += 0.2 * (rate - group.warm_rate);
-            group.warm_served = 0;
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,7 +152,7 @@
     pub probe: f64,
 }
 
-/// What a copy is told once, at its start.
+/// What a copy is told at its start, and again with [`Event::Reconfigured`] when it changes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// This copy's number, from 0.
@@ -203,6 +203,12 @@
     /// A class's aim or deadline is 0, or the aim lies past the deadline.
     #[error("class {0}: the aim and the deadline must be above 0, the aim not past the deadline")]
     ClassTimes(usize),
+    /// It holds fewer classes or tenants than the settings before: positions never change their meaning.
+    #[error("there are fewer classes or tenants than before")]
+    Fewer,
+    /// They are of another copy, tier, zone or kinds than the settings before.
+    #[error("they are those of another place: its number, tier, zone, zones and kinds stay for life")]
+    Elsewhere,
     /// A fraction or a figure lies outside its range.
     #[error("{0} is out of range")]
     OutOfRange(&'static str),
@@ -286,6 +292,21 @@
         }
         Ok(())
     }
+
+    /// Checks that a running copy may go over to these from `before`.
+    ///
+    /// # Errors
+    /// The first thing found wrong.
+    pub fn may_follow(&self, before: &Self) -> Result<(), SettingsError> {
+        let place = |of: &Self| (of.index, of.tier, of.zone, of.zones, of.kinds);
+        if place(self) != place(before) {
+            return Err(SettingsError::Elsewhere);
+        }
+        if self.classes.len() < before.classes.len() || self.tenants.len() < before.tenants.len() {
+            return Err(SettingsError::Fewer);
+        }
+        self.validate()
+    }
 }
 
 fn in_range(value: f64, low: f64, high: f64, name: &'static str) -> Result<(), SettingsError> {
@@ -445,6 +466,11 @@
     ClientLeft(RequestId),
     /// The sweep asked for by [`Action::WakeAfter`] is due.
     Wake,
+    /// The settings have changed. Positions keep their meaning: classes and tenants known before stand where they stood,
+    /// new ones behind them, and those that went stay as they were, named by no request any more; the quota of a tenant
+    /// that went is 0. Requests already taken keep the rules that they were taken under. Settings that make no sense,
+    /// or that are no successor ([`Settings::may_follow`]), change nothing but the log.
+    Reconfigured(Settings),
     /// The result of a health check.
     Probed {
         /// The upstream.
