Check settings whole, each fault with its path

A change of configuration is to be checked before it is accepted and again before it is applied, with all faults named. setup::check takes a whole settings object and passes over unknown keys, as reading does; setup::check_part takes what a document may hold and refuses unknown keys by name. A walk over the JSON value by tables of fields: reading by serde ends at the first fault. What has no fault can be read and makes sense to the decisions: tested by putting 20 values at every place of a settings object.

--- a/wirehost/src/lib.rs
+++ b/wirehost/src/lib.rs
@@ -1,6 +1,7 @@
 //! The simulator's side of peathatch: the settings object, which the real balancer reads as well, and
 //! the host of the line protocol.
 
+mod check;
 mod host;
 pub mod setup;
 mod wire;
--- /dev/null
+++ b/wirehost/tests/settings.rs
@@ -0,0 +1,275 @@
+//! Checks of settings: what a whole and what a document's part may hold, and that all faults are told at once.
+
+use peathatch_wirehost::setup::{check, check_part, read};
+use serde_json::{Value, json};
+
+fn whole() -> Value {
+    json!({
+        "balancers": 3, "me": 0, "tier": 0, "zone": "north", "zones": ["north", "south"], "kinds": ["std"],
+        "lanes": [
+            {"name": "read", "onTimeS": 1, "hardLimitS": 3.0, "lateWorth": 0.2, "effect": "idempotent"},
+            {"name": "pay", "onTimeS": 1, "hardLimitS": 3, "effect": "deduplicated", "dedupScope": "cell", "windowS": 5},
+            {"name": "order", "onTimeS": 1, "hardLimitS": 3, "effect": "at_most_once", "dedupScope": null}],
+        "projects": [{"name": "acme", "quotaPerS": 50}, {"name": "zeta", "quotaPerS": null}],
+        "overShareWorth": 0.1, "discovery": "subscribe", "familyInfo": {"passesDeadline": true},
+        "loadInfo": {"fields": ["active", "cpu"]},
+        "caps": {"tryLimit": 3, "secondCopies": false, "cancel": true, "retryAfter": true, "maxRetryAfterS": 2,
+                 "keepaliveS": 15, "multiplex": 4, "dialTimeoutS": 0.25},
+        "rules": {"answerSlackS": 0.02, "drainGraceS": 1, "askWithinS": null, "coldS": 20, "coldShare": 0.2,
+                  "fallMultiple": 3, "overloadForS": 2},
+        "prices": {"crossZone": 0.02, "waste": 0.1, "lateFail": 0, "handshake": 0, "probe": 0}})
+}
+
+/// The same with another value at a JSON pointer, or without what stands there.
+fn with(mut settings: Value, place: &str, value: Option<Value>) -> Value {
+    let (parent, key) = place.rsplit_once('/').expect("a pointer");
+    match (settings.pointer_mut(parent).expect("it stands there"), value) {
+        (Value::Object(object), Some(value)) => drop(object.insert(key.to_owned(), value)),
+        (Value::Object(object), None) => drop(object.remove(key)),
+        (Value::Array(list), Some(value)) => list[key.parse::<usize>().expect("a place")] = value,
+        (other, _) => panic!("{place} in {other}"),
+    }
+    settings
+}
+
+fn part() -> Value {
+    let mut part = whole();
+    let own = ["me", "tier", "zone", "zones", "kinds", "discovery", "familyInfo", "loadInfo"];
+    for key in own {
+        part.as_object_mut().expect("an object").remove(key);
+    }
+    part
+}
+
+#[test]
+fn sound_settings_have_no_fault() {
+    assert_eq!(check(&whole()), Vec::<String>::new());
+    assert!(read(&whole().to_string()).is_ok());
+    // What the platform adds is none of ours.
+    let more = with(with(whole(), "/future", Some(json!({"a": [1]}))), "/lanes/0/stream", Some(json!(true)));
+    assert_eq!(check(&more), Vec::<String>::new());
+    for key in ["tier", "kinds", "projects", "overShareWorth", "familyInfo", "loadInfo", "prices"] {
+        assert_eq!(check(&with(whole(), &format!("/{key}"), None)), Vec::<String>::new(), "{key}");
+    }
+}
+
+#[test]
+fn a_part_may_hold_little() {
+    for text in [
+        "{}",
+        r#"{"balancers": 4}"#,
+        r#"{"projects": []}"#,
+        r#"{"caps": {"tryLimit": 2}}"#,
+        r#"{"rules": {"coldS": 5}, "prices": {"waste": 0.2}}"#,
+        // Taken away, so that the default holds again.
+        r#"{"prices": null, "caps": {"dialTimeoutS": null}, "rules": {"askWithinS": null}, "overShareWorth": null}"#,
+    ] {
+        let part: Value = serde_json::from_str(text).expect("JSON");
+        assert_eq!(check_part(&part), Vec::<String>::new(), "{text}");
+    }
+    assert_eq!(check_part(&part()), Vec::<String>::new());
+}
+
+/// Guards operators: each fault is told with its path, and no sound place beside it.
+#[test]
+fn each_fault_is_told_with_its_path() {
+    let faults = [
+        (
+            "/lanes/2/onTimeS",
+            json!(-1),
+            "settings.lanes[2].onTimeS: expected a number from 0.000001 to 1000000000, found -1",
+        ),
+        (
+            "/lanes/2/onTimeS",
+            json!(4),
+            "settings.lanes[2].onTimeS: expected no more than hardLimitS, 3, found 4",
+        ),
+        ("/lanes/0/onTimeS", json!("1"), "settings.lanes[0].onTimeS: expected a number from 0.000001"),
+        ("/lanes/0/hardLimitS", json!(1e18), "settings.lanes[0].hardLimitS: expected"),
+        (
+            "/lanes/1/effect",
+            json!("safe"),
+            "settings.lanes[1].effect: expected one of idempotent, deduplicated, at_most_once",
+        ),
+        (
+            "/lanes/1/dedupScope",
+            json!(null),
+            "settings.lanes[1].dedupScope: missing, expected all, zone or cell",
+        ),
+        (
+            "/lanes/1/dedupScope",
+            json!("rack"),
+            "settings.lanes[1].dedupScope: expected one of all, zone, cell",
+        ),
+        ("/lanes/1/windowS", json!(-2), "settings.lanes[1].windowS: expected"),
+        (
+            "/lanes/1/name",
+            json!("read"),
+            "settings.lanes[1].name: expected a name of its own, found \"read\"",
+        ),
+        ("/lanes/1/name", json!(""), "settings.lanes[1].name: expected a text that is not empty"),
+        ("/lanes/1", json!(7), "settings.lanes[1]: expected an object, found 7"),
+        ("/lanes", json!([]), "settings.lanes: expected a list of 1 to 1000"),
+        ("/lanes", json!({"0": 1}), "settings.lanes: expected a list"),
+        ("/lanes/0/lateWorth", json!(1.5), "settings.lanes[0].lateWorth: expected a number from 0 to 1"),
+        ("/projects/1/name", json!("acme"), "settings.projects[1].name: expected a name of its own"),
+        ("/projects/0/quotaPerS", json!(-3), "settings.projects[0].quotaPerS: expected"),
+        ("/projects/0/quotaPerS", json!("many"), "settings.projects[0].quotaPerS: expected"),
+        ("/overShareWorth", json!(1.1), "settings.overShareWorth: expected"),
+        ("/balancers", json!(0), "settings.balancers: expected a whole number from 1"),
+        ("/balancers", json!(2.5), "settings.balancers: expected a whole number"),
+        ("/balancers", json!(5_000_000_000_u64), "settings.balancers: expected a whole number"),
+        ("/caps", json!([]), "settings.caps: expected an object, found []"),
+        ("/caps/tryLimit", json!(0), "settings.caps.tryLimit: expected a whole number from 1"),
+        ("/caps/cancel", json!(1), "settings.caps.cancel: expected true or false, found 1"),
+        ("/caps/multiplex", json!(0), "settings.caps.multiplex: expected"),
+        ("/caps/keepaliveS", json!(0), "settings.caps.keepaliveS: expected"),
+        ("/caps/dialTimeoutS", json!(-0.5), "settings.caps.dialTimeoutS: expected"),
+        ("/rules/coldShare", json!(0), "settings.rules.coldShare: expected a number above 0, up to 1"),
+        ("/rules/fallMultiple", json!(2e6), "settings.rules.fallMultiple: expected"),
+        ("/rules/askWithinS", json!(true), "settings.rules.askWithinS: expected"),
+        ("/prices/waste", json!(-0.1), "settings.prices.waste: expected a number from 0 to 1000000"),
+    ];
+    for (place, value, fault) in &faults {
+        for (settings, check) in [(whole(), check as fn(&Value) -> Vec<String>), (part(), check_part)] {
+            let told = check(&with(settings, place, Some(value.clone())));
+            assert_eq!(told.len(), 1, "{place}: {told:?}");
+            assert!(told[0].starts_with(fault), "{told:?} is not {fault}");
+        }
+    }
+    // All at once, each once.
+    let all = [0, 3, 9, 17, 22, 27].map(|number: usize| &faults[number]);
+    let broken =
+        all.iter().fold(whole(), |settings, (place, value, _)| with(settings, place, Some(value.clone())));
+    let told = check(&broken);
+    assert_eq!(told.len(), all.len(), "{told:?}");
+    for (_, _, fault) in all {
+        assert!(told.iter().any(|told| told.starts_with(fault)), "{fault} in {told:?}");
+    }
+}
+
+/// Guards a document against keys that would be passed over in silence: of another's part, or written wrongly.
+#[test]
+fn a_part_with_a_strange_key_is_refused_by_name() {
+    for (place, told) in [
+        ("/zone", "settings.zone: not known, expected one of lanes, projects, overShareWorth, caps"),
+        ("/me", "settings.me: not known"),
+        ("/discovery", "settings.discovery: not known"),
+        ("/lanes/0/onTimes", "settings.lanes[0].onTimes: not known, expected one of name, onTimeS"),
+        ("/projects/1/portion", "settings.projects[1].portion: not known"),
+        ("/caps/trylimit", "settings.caps.trylimit: not known"),
+        ("/rules/cold", "settings.rules.cold: not known"),
+        ("/prices/x", "settings.prices.x: not known"),
+    ] {
+        let faults = check_part(&with(part(), place, Some(json!(1))));
+        assert_eq!(faults.len(), 1, "{place}: {faults:?}");
+        assert!(faults[0].starts_with(told), "{faults:?} is not {told}");
+    }
+    // What a balancer can't do without is not taken away.
+    for key in ["lanes", "caps", "rules", "balancers"] {
+        let faults = check_part(&json!({key: null}));
+        assert_eq!(faults.len(), 1, "{key}: {faults:?}");
+    }
+    assert_eq!(check_part(&json!({"caps": {"tryLimit": null}})).len(), 1);
+    // A quota of 0 is none in the settings, which is not what it looks like.
+    assert_eq!(check_part(&json!({"projects": [{"name": "a", "quotaPerS": 0}]})).len(), 1);
+    assert!(check(&with(whole(), "/projects/0/quotaPerS", Some(json!(0)))).is_empty());
+}
+
+#[test]
+fn what_is_missing_is_told() {
+    for place in [
+        "/balancers",
+        "/me",
+        "/zone",
+        "/zones",
+        "/discovery",
+        "/lanes",
+        "/caps",
+        "/rules",
+        "/caps/tryLimit",
+        "/rules/coldShare",
+        "/rules/coldS",
+        "/rules/fallMultiple",
+        "/rules/overloadForS",
+        "/lanes/0/name",
+        "/lanes/0/onTimeS",
+        "/lanes/0/hardLimitS",
+        "/lanes/0/effect",
+        "/projects/0/name",
+    ] {
+        let settings = with(whole(), place, None);
+        let told = check(&settings);
+        assert_eq!(told.len(), 1, "{place}: {told:?}");
+        assert!(told[0].contains(": missing, expected "), "{told:?}");
+        assert!(read(&settings.to_string()).is_err(), "{place}");
+    }
+    assert_eq!(check(&with(whole(), "/zone", Some(json!("west")))).len(), 1);
+}
+
+/// Guards against garbage and against floods of faults.
+#[test]
+fn garbage_is_refused_in_bounds() {
+    for garbage in [json!(null), json!(3), json!("settings"), json!([whole()])] {
+        assert_eq!(check(&garbage).len(), 1);
+        assert_eq!(check_part(&garbage).len(), 1);
+    }
+    assert!(!check(&json!({})).is_empty());
+    let lanes = vec![json!({"name": 1, "x": "y".repeat(10_000)}); 1000];
+    let told = check_part(&json!({"lanes": lanes}));
+    assert_eq!(told.len(), 101);
+    assert!(told.iter().all(|fault| fault.len() < 300), "{:?}", told.iter().max_by_key(|fault| fault.len()));
+    assert!(told[100].ends_with(" more"));
+    assert_eq!(check_part(&json!({"projects": vec![json!({"name": "a"}); 10_001]})).len(), 1);
+}
+
+/// Guards the balancer that applies what has no fault: whatever stands at whichever place, settings without a fault
+/// can be read and make sense to the decisions.
+#[test]
+fn what_has_no_fault_can_be_read() {
+    let values = [
+        json!(null),
+        json!(true),
+        json!(0),
+        json!(-1),
+        json!(1),
+        json!(0.5),
+        json!(1e-12),
+        json!(1e300),
+        json!(7),
+        json!(""),
+        json!("cell"),
+        json!("idempotent"),
+        json!("deduplicated"),
+        json!("north"),
+        json!([]),
+        json!({}),
+        json!([1]),
+        json!(["north"]),
+        json!(u64::MAX),
+        json!(4_294_967_296_u64),
+    ];
+    let mut places = vec![String::new()];
+    let mut sound = 0;
+    let mut next = 0;
+    while let Some(place) = places.get(next).cloned() {
+        next += 1;
+        match whole().pointer(&place).expect("it stands there") {
+            Value::Object(object) => places.extend(object.keys().map(|key| format!("{place}/{key}"))),
+            Value::Array(list) => places.extend((0..list.len()).map(|number| format!("{place}/{number}"))),
+            _ => {}
+        }
+        if place.is_empty() {
+            continue;
+        }
+        for value in &values {
+            let settings = with(whole(), &place, Some(value.clone()));
+            let faults = check(&settings);
+            let loaded = read(&settings.to_string());
+            let works = loaded.as_ref().is_ok_and(|loaded| loaded.settings.validate().is_ok());
+            assert!(works || !faults.is_empty(), "{place} {value}: {loaded:?}");
+            sound += u32::from(faults.is_empty());
+        }
+    }
+    assert!(sound > 100, "{sound}");
+}
