--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,12 +5,12 @@
 //! 2. [`LearnedLimit`] is the rate that the suppressor holds a tenant to;
 //! 3. [`Subset`] is the copy's part of the tier, from which the less busy of two is picked;
 //! 4. [`Upstream`] is what the copy knows of an upstream: health, warmth, own calls in flight;
-//! 5. [`Ledger`] holds the requests with their attempts and the budgets for further ones;
-//! 6. [`Discovery`] keeps the list coming.
+//! 5. [`Ledger`] holds the requests with their attempts and the budgets for further ones.
 //!
 //! [`Balancer`] joins them: ONE gate, [`Balancer::send`], lets attempts out, and ONE path,
 //! [`Balancer::finish`], ends requests unserved.
 
+use std::mem::{replace, take};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,8 +18,9 @@
 use rustc_hash::FxHashMap;
 
 use crate::interface::{
-    Action, Allowed, AttemptNumber, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId, ListUpdate,
-    Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time, UpstreamId,
+    Action, Allowed, AttemptNumber, Class, ClassId, DedupScope, DiscoveryMode, Effect, Event, KindId,
+    ListUpdate, Member, Outcome, Phase, Request, RequestId, Settings, SettingsError, TenantId, Time,
+    UpstreamId,
 };
 
 // --- Constants: unit and reason. Figures of a site come with the settings, never from here. ---
@@ -168,10 +169,9 @@
         let bucket = (now / self.bucket_s) as u64;
         let steps = bucket.saturating_sub(self.current).min(BUCKETS as u64);
         for step in 1..=steps {
-            let slot = &mut self.buckets[((self.current + step) % BUCKETS as u64) as usize];
-            self.sum.total -= slot.total;
-            self.sum.accepted -= slot.accepted;
-            *slot = Bucket::default();
+            let old = take(&mut self.buckets[((self.current + step) % BUCKETS as u64) as usize]);
+            self.sum.total -= old.total;
+            self.sum.accepted -= old.accepted;
         }
         self.current = self.current.max(bucket);
     }
@@ -189,6 +189,11 @@
         (buckets as f64 * self.bucket_s).max(1.0)
     }
 
+    /// Whether its last second is not over yet, so that the rate of what it lets in is not known.
+    fn is_new(&self) -> bool {
+        self.first.is_none_or(|first| self.current < first + LAST_SECOND)
+    }
+
     /// Whether a call fits under the soft limit; of a part of a call, that part of them. A limit of less than
     /// a call a window let a whole one through each, several times the limits over many copies. The die is
     /// cast once a window and admission: cast for each call, denied ones that come again would wear it down.
@@ -239,7 +244,7 @@
 // --- 2. Learned limit ---
 
 /// A rate limit learned from what becomes of the calls.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 struct LearnedLimit {
     rate: f64,
     /// The fair part of a quota, bare and with its chance, where there is one.
@@ -263,6 +268,17 @@
         Self { rate, fair, quota: Some(quota), ceiling, usual: 0.0 }
     }
 
+    /// What it becomes under other settings, where a new copy has `fresh`: what was learned stays, in parts of the quota. A
+    /// lower quota holds at once; to a higher one it goes up at once as far as a new copy begins, and rises from there.
+    fn under(self, fresh: Self) -> Self {
+        let rate = match self.quota.zip(fresh.quota) {
+            Some(_) => (self.rate * (fresh.fair / self.fair)).min(self.rate.max(fresh.rate)),
+            None if self.quota.is_some() => fresh.rate,
+            None => self.rate.min(fresh.rate),
+        };
+        Self { rate: rate.min(fresh.ceiling), usual: self.usual, ..fresh }
+    }
+
     fn rise(&mut self) {
         // Below the fair part the calls denied are the ones that count: come back from a jam faster.
         let rise = if self.quota.is_some_and(|quota| self.rate < quota) { RISE.1 } else { RISE.0 };
@@ -294,6 +310,21 @@
     1.0 + (copies.ln().max(1.0) - 1.0) * fair / (fair + NOTICE)
 }
 
+/// The limits with which a copy begins: of each tenant and, last, of all together, at first their fair parts, in a crowd
+/// less.
+fn limits(settings: &Settings) -> Vec<LearnedLimit> {
+    let quotas = settings.tenants.iter().map(|tenant| tenant.quota);
+    let mut limits: Vec<_> = quotas.clone().map(|quota| LearnedLimit::new(settings, quota)).collect();
+    let mut all = LearnedLimit::new(settings, quotas.sum());
+    if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
+        all.quota = Some(all.fair);
+        all.rate = all.fair * busiest(settings);
+        all.ceiling = all.rate * (1.0 + EXCESS * all.fair / (all.fair + NOTICE));
+    }
+    limits.push(all);
+    limits
+}
+
 fn between(rng: &mut Rand64, (low, high): (f64, f64)) -> f64 {
     low + (high - low) * rng.rand_float()
 }
@@ -374,7 +405,6 @@
 #[derive(Debug)]
 struct Upstream {
     member: Member,
-    listed: bool,
     home: bool,
     /// Its place in the slowness of kinds.
     kind: usize,
@@ -403,7 +433,6 @@
     fn new(member: Member, now: f64, rng: &mut Rand64) -> Self {
         Self {
             member,
-            listed: true,
             home: false,
             kind: 0,
             in_flight: 0,
@@ -422,10 +451,6 @@
         }
     }
 
-    fn usable(&self) -> bool {
-        self.listed && self.member.phase == Phase::Ready
-    }
-
     /// It is within reach: what connect timeouts alone made of it is over.
     fn reached(&mut self) {
         if self.late_connects >= LATE_IN_A_ROW && self.failures < FAIL_OVER.0 {
@@ -439,12 +464,7 @@
         let Some(started) = self.member.started else { return 1.0 };
         let age = (now - started.as_secs_f64()).max(0.0);
         let share = settings.rules.cold_share;
-        let time = settings.rules.cold_time.as_secs_f64().max(1e-6);
-        (share + (1.0 - share) * age / time).min(1.0)
-    }
-
-    fn stalled(&self, now: f64, usual: f64) -> bool {
-        self.in_flight > 0 && now - self.heard > (usual * STALL.0).max(STALL.1)
+        (share + (1.0 - share) * age / settings.rules.cold_time.as_secs_f64().max(1e-6)).min(1.0)
     }
 
     /// Whether an open connection has room for another attempt.
@@ -480,16 +500,22 @@
     withdrawn: bool,
 }
 
-/// How an attempt ended, after how long, and for how long of that it had a connection.
+/// How an attempt ended, after how long, for how long of that it had a connection, the aim of its request, and whether
+/// that ended too.
 #[derive(Debug, Clone, Copy)]
 struct Ending {
+    number: AttemptNumber,
     outcome: Outcome,
     took: f64,
     served: f64,
+    aim: f64,
+    finished: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Entry {
+    /// Those that it was taken under: no later ones let more of its attempts run.
+    settings: Arc<Settings>,
     class: ClassId,
     tenant: usize,
     arrived: f64,
@@ -503,6 +529,18 @@
 }
 
 impl Entry {
+    fn rules(&self) -> &Class {
+        &self.settings.classes[self.class.0]
+    }
+
+    /// The time until which an answer is worth waiting for.
+    fn useful_until(&self) -> f64 {
+        let aim = self.arrived + self.rules().aim.as_secs_f64();
+        // Where no deadline is passed on, a caller's slot would be held for a client long gone.
+        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
+        if self.rules().late_worth > 0.0 && !blind { self.deadline } else { self.deadline.min(aim) }
+    }
+
     /// The first attempt not proved never to have run: it binds those that follow.
     fn first_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|attempt| attempt.ended.is_none_or(|outcome| !outcome.never_ran()))
@@ -551,22 +589,12 @@
     }
 }
 
-// --- 6. Discovery ---
-
-/// Keeps the subscription open.
-#[derive(Debug, Default)]
-struct Discovery {
-    /// When to ask next, which with a subscription is never.
-    ask_at: f64,
-    backoff_s: f64,
-}
-
 // --- The balancer ---
 
 /// One copy's decisions.
 #[derive(Debug)]
 pub struct Balancer {
-    settings: Settings,
+    settings: Arc<Settings>,
     rng: Rand64,
     suppressors: Vec<Suppressor>,
     limits: Vec<LearnedLimit>,
@@ -588,7 +616,9 @@
     kind_slowness: Vec<f64>,
     latencies: Vec<Latency>,
     ledger: Ledger,
-    discovery: Discovery,
+    /// When to ask for the list next, which with a subscription is never, and how long the latest wait for it was.
+    ask_at: f64,
+    backoff_s: f64,
     largest_weight: f64,
 }
 
@@ -599,18 +629,10 @@
     /// The settings make no sense.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let mut limits: Vec<_> =
-            settings.tenants.iter().map(|tenant| LearnedLimit::new(&settings, tenant.quota)).collect();
-        let mut suppressors: Vec<_> = limits.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
-        // The last is for all tenants together: at first their fair parts, in a crowd less.
-        let mut all = LearnedLimit::new(&settings, settings.tenants.iter().map(|tenant| tenant.quota).sum());
-        if all.quota.is_some() && limits.len() > 1 && settings.over_share_worth < EXCESS_COUNTS {
-            all.quota = Some(all.fair);
-            all.rate = all.fair * busiest(&settings);
-            all.ceiling = all.rate * (1.0 + EXCESS * all.fair / (all.fair + NOTICE));
-        }
-        suppressors.push(Suppressor::new(BUCKET_S * (CALLS / (all.fair * WINDOW_S)).clamp(1.0, 4.0)));
-        limits.push(all);
+        let limits = limits(&settings);
+        let mut suppressors: Vec<_> = settings.tenants.iter().map(|_| Suppressor::new(BUCKET_S)).collect();
+        let fair = limits[suppressors.len()].fair;
+        suppressors.push(Suppressor::new(BUCKET_S * (CALLS / (fair * WINDOW_S)).clamp(1.0, 4.0)));
         Ok(Self {
             rng: Rand64::new(u128::from(seed)),
             suppressors,
@@ -628,9 +650,10 @@
             kind_slowness: vec![1.0; settings.kinds + 1],
             latencies: vec![Latency::default(); settings.classes.len()],
             ledger: Ledger { budgets: [REPEATS.1 / 2.0, REROUTES.1 / 2.0], ..Ledger::default() },
-            discovery: Discovery::default(),
+            ask_at: 0.0,
+            backoff_s: 0.0,
             largest_weight: 1.0,
-            settings,
+            settings: Arc::new(settings),
         })
     }
 
@@ -638,12 +661,7 @@
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         let now = now.as_secs_f64();
         match event {
-            Event::Started => {
-                actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-                if self.settings.discovery != DiscoveryMode::Push {
-                    self.subscribe(now, actions);
-                }
-            }
+            Event::Started => self.keep_going(now, actions),
             Event::List(update) => self.learn_list(now, update),
             Event::Request(request) => self.take(now, request, actions),
             Event::StreamStarted { request, attempt } => {
@@ -653,11 +671,13 @@
                     entry.withdraw(request, Some(attempt), actions);
                 }
             }
-            Event::AttemptEnded { request, attempt, outcome, took, connecting, finished, .. } => {
+            Event::AttemptEnded { request, attempt: number, outcome, took, connecting, finished, .. } => {
                 let unconnected = if outcome == Outcome::ConnectTimedOut { took } else { connecting };
                 let served = took.saturating_sub(unconnected).as_secs_f64();
-                let end = Ending { outcome, took: took.as_secs_f64(), served };
-                self.attempt_ended(now, request, attempt, end, finished, actions);
+                let Some(entry) = self.ledger.entries.get(&request) else { return };
+                let (took, aim) = (took.as_secs_f64(), entry.rules().aim.as_secs_f64());
+                let end = Ending { number, outcome, took, served, aim, finished };
+                self.attempt_ended(now, request, end, actions);
             }
             Event::Connected(upstream) => {
                 let Some(&slot) = self.slots.get(&upstream) else { return };
@@ -666,10 +686,31 @@
             }
             Event::ClientLeft(request) => self.close(request, actions),
             Event::Wake => self.sweep(now, actions),
+            Event::Reconfigured(settings) => match settings.may_follow(&self.settings) {
+                Ok(()) => self.reconfigure(settings),
+                Err(why) => actions.push(Action::Log(format!("other settings were not taken over: {why}"))),
+            },
             Event::Probed { .. } | Event::Message { .. } => {}
         }
     }
 
+    /// Goes by other settings for what follows. Requests held keep theirs, and what was learned of what stays, stays.
+    fn reconfigure(&mut self, settings: Settings) {
+        let (before, after) = (self.settings.tenants.len(), settings.tenants.len());
+        let fresh = limits(&settings);
+        // New tenants come before the last place, which is that of all together.
+        drop(self.limits.splice(before..before, fresh[before..after].iter().copied()));
+        drop(self.suppressors.splice(before..before, (before..after).map(|_| Suppressor::new(BUCKET_S))));
+        for (limit, fresh) in self.limits.iter_mut().zip(fresh) {
+            *limit = limit.under(fresh);
+        }
+        self.latencies.resize(settings.classes.len(), Latency::default());
+        let laid_from = replace(&mut self.settings, Arc::new(settings)).copies;
+        if laid_from != self.settings.copies && self.subset.stay.is_some() {
+            self.rebuild();
+        }
+    }
+
     /// How the limits and the tier stand, for the operator's log.
     #[must_use]
     pub fn vitals(&self) -> String {
@@ -681,9 +722,13 @@
 
     // --- Discovery ---
 
-    fn subscribe(&mut self, now: f64, actions: &mut Vec<Action>) {
-        actions.push(Action::Subscribe);
-        self.discovery.ask_at = now + self.ask_within();
+    /// Asks for the next sweep and, where it is time, for the list.
+    fn keep_going(&mut self, now: f64, actions: &mut Vec<Action>) {
+        actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
+        if self.settings.discovery != DiscoveryMode::Push && now >= self.ask_at {
+            actions.push(Action::Subscribe);
+            self.ask_at = now + self.ask_within();
+        }
     }
 
     fn ask_within(&self) -> f64 {
@@ -699,17 +744,16 @@
             // Copies whose calls fail together must not come back together; each agent has one copy alone.
             let own = self.settings.discovery == DiscoveryMode::Agent;
             let most = if own { 0.0 } else { self.ask_within().max(RESUBSCRIBE_S) };
-            let before = if moved { 0.0 } else { self.discovery.backoff_s };
-            let backoff_s = (before * 2.0).max(RESUBSCRIBE_S).min(most);
-            let ask_at = now + between(&mut self.rng, (backoff_s / 2.0, backoff_s));
-            self.discovery = Discovery { ask_at, backoff_s };
+            let before = if moved { 0.0 } else { self.backoff_s };
+            self.backoff_s = (before * 2.0).max(RESUBSCRIBE_S).min(most);
+            self.ask_at = now + between(&mut self.rng, (self.backoff_s / 2.0, self.backoff_s));
             return;
         };
         if !stale {
-            self.discovery = Discovery { ask_at: f64::MAX, backoff_s: 0.0 };
+            (self.ask_at, self.backoff_s) = (f64::MAX, 0.0);
         }
-        for upstream in &mut self.upstreams {
-            upstream.listed &= !whole;
+        if whole {
+            self.upstreams.iter_mut().for_each(|upstream| upstream.member.phase = Phase::Gone);
         }
         for member in members {
             self.learn_member(now, member);
@@ -720,27 +764,21 @@
     fn learn_member(&mut self, now: f64, member: Member) {
         if let Some(&slot) = self.slots.get(&member.id) {
             let upstream = &mut self.upstreams[slot];
-            let restarted = upstream.member.started != member.started;
-            upstream.member = member;
-            upstream.listed = member.phase != Phase::Gone;
-            if restarted {
+            if replace(&mut upstream.member, member).started != member.started {
                 // A new process knows nothing of what the old one did.
                 let Upstream { in_flight, home, kind, .. } = *upstream;
                 *upstream = Upstream { in_flight, home, kind, ..Upstream::new(member, now, &mut self.rng) };
             }
         } else if member.phase != Phase::Gone {
             let upstream = Upstream::new(member, now, &mut self.rng);
+            // A free place or a new one behind the last.
             let slot = self.free.pop().unwrap_or(self.upstreams.len());
-            if slot == self.upstreams.len() {
-                self.upstreams.push(upstream);
-            } else {
-                self.upstreams[slot] = upstream;
-            }
+            self.upstreams.splice(slot..self.upstreams.len().min(slot + 1), [upstream]);
             self.slots.insert(member.id, slot);
         }
     }
 
-    /// Lays out the subset anew; only a list event calls it.
+    /// Lays out the subset anew, after a list event or with another number of copies.
     fn rebuild(&mut self) {
         let mut order: Vec<(UpstreamId, usize)> = self.slots.iter().map(|(&id, &slot)| (id, slot)).collect();
         order.sort_unstable();
@@ -749,8 +787,8 @@
         let (mut home, mut away) = (Vec::new(), Vec::new());
         for (id, slot) in order {
             let upstream = &mut self.upstreams[slot];
-            if !upstream.usable() {
-                if !upstream.listed && upstream.in_flight == 0 {
+            if upstream.member.phase != Phase::Ready {
+                if upstream.member.phase == Phase::Gone && upstream.in_flight == 0 {
                     self.slots.remove(&id);
                     self.free.push(slot);
                 }
@@ -792,21 +830,25 @@
         let last = self.settings.tenants.len().saturating_sub(1);
         let tenant = request.tenant.map_or(0, |TenantId(tenant)| tenant.min(last));
         let entry = Entry {
+            settings: Arc::clone(&self.settings),
             class: request.class,
             tenant,
             arrived: now,
             deadline: now + request.time_left.as_secs_f64(),
-            ..Entry::default()
+            attempts: Vec::new(),
+            connecting: 0.0,
+            out: 0,
+            closed: false,
+            streaming: false,
         };
         self.ledger.entries.insert(request.id, entry);
-        if !self.admit(now, request.id, tenant) {
-            return self.finish(request.id, false, actions);
-        }
+        let admitted = self.admit(now, request.id, tenant);
         // Only admitted calls earn further attempts: a storm of denied ones must not pay for them.
-        for (budget, (each, most)) in self.ledger.budgets.iter_mut().zip([REPEATS, REROUTES]) {
-            *budget = (*budget + each).min(most);
+        let earned = if admitted { [REPEATS, REROUTES].as_slice() } else { &[] };
+        for (budget, (each, most)) in self.ledger.budgets.iter_mut().zip(earned) {
+            *budget = (*budget + each).min(*most);
         }
-        if !self.send_somewhere(now, request.id, actions) {
+        if !admitted || !self.send_somewhere(now, request.id, actions) {
             self.finish(request.id, false, actions);
         }
     }
@@ -834,7 +876,7 @@
     /// that it has suffices: what can't end in time keeps others out, but a usual time learned too long must not stand.
     fn is_hopeful(&mut self, now: f64, id: RequestId) -> bool {
         let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let left = self.useful_until(entry) - now;
+        let left = entry.useful_until() - now;
         let usual = self.latencies[entry.class.0].seconds() * self.crowding.0.clamp(0.0, 1.0).exp();
         left >= usual || left > usual * self.rng.rand_float()
     }
@@ -843,35 +885,20 @@
         self.pick(now, id).is_some_and(|slot| self.send(now, id, slot, actions))
     }
 
-    /// The time until which an answer is worth waiting for.
-    fn useful_until(&self, entry: &Entry) -> f64 {
-        let class = &self.settings.classes[entry.class.0];
-        let aim = entry.arrived + class.aim.as_secs_f64();
-        // Where no deadline is passed on, a caller's slot would be held for a client long gone.
-        let blind = self.settings.tier > 0 && !self.settings.passes_deadline;
-        if class.late_worth > 0.0 && !blind { entry.deadline } else { entry.deadline.min(aim) }
-    }
-
     /// Picks an upstream: two draws from the own zone's members or, for what the own zone's suppressor
     /// declines, from the others; then whatever is left.
     fn pick(&mut self, now: f64, id: RequestId) -> Option<usize> {
         let entry = self.ledger.entries.get(&id)?;
-        let scope = match self.settings.classes[entry.class.0].effect {
-            Effect::Keyed { scope, .. } => scope,
-            _ => DedupScope::All,
-        };
-        let Some(&Attempt { member, .. }) = entry.first_run().filter(|_| scope != DedupScope::All) else {
-            return self.pick_plain(now, id);
-        };
-        let kin = |&&slot: &&usize| {
-            let Member { zone, cell, .. } = self.upstreams[slot].member;
-            if scope == DedupScope::Zone { zone == member.zone } else { cell == member.cell }
-        };
-        let members: Vec<usize> = self.ready.iter().filter(kin).copied().collect();
-        self.draw_two(now, id, &members)
-    }
-
-    fn pick_plain(&mut self, now: f64, id: RequestId) -> Option<usize> {
+        if let Effect::Keyed { scope, .. } = entry.rules().effect
+            && let Some(&Attempt { member, .. }) = entry.first_run().filter(|_| scope != DedupScope::All)
+        {
+            let kin = |&&slot: &&usize| {
+                let Member { zone, cell, .. } = self.upstreams[slot].member;
+                if scope == DedupScope::Zone { zone == member.zone } else { cell == member.cell }
+            };
+            let members: Vec<usize> = self.ready.iter().filter(kin).copied().collect();
+            return self.draw_two(now, id, &members);
+        }
         let [home, away] = [&self.subset.home, &self.subset.away].map(|group| Arc::clone(&group.members));
         let at_home =
             away.is_empty() || (!home.is_empty() && self.rng.rand_float() < self.subset.stay.unwrap_or(1.0));
@@ -909,13 +936,17 @@
         for _ in 0..DRAWS {
             let slot = from[self.rng.rand_range(0..from.len() as u64) as usize];
             let upstream = &self.upstreams[slot];
-            if !self.open(id, slot) || upstream.aside_until > now || upstream.stalled(now, usual) {
+            let silent = upstream.in_flight > 0 && now - upstream.heard > (usual * STALL.0).max(STALL.1);
+            if !self.open(id, slot) || upstream.aside_until > now || silent {
                 continue;
             }
+            // Its own or, before the first latency, that of its kind.
+            let known = upstream.measured > 0.0;
+            let slowness = if known { upstream.slowness } else { self.kind_slowness[upstream.kind] };
             let chance = upstream.member.weight / self.largest_weight
                 * upstream.warmth(now, &self.settings)
                 * upstream.returning
-                * (self.tier_slowness / self.slowness(upstream)).powi(2).clamp(SLOW_CHANCE, 1.0);
+                * (self.tier_slowness / slowness).powi(2).clamp(SLOW_CHANCE, 1.0);
             if self.rng.rand_float() < chance && self.cold_allows(now, slot) {
                 return Some(slot);
             }
@@ -927,12 +958,7 @@
     fn open(&self, id: RequestId, slot: usize) -> bool {
         let upstream = &self.upstreams[slot];
         let had = |entry: &Entry| entry.attempts.iter().any(|tried| tried.member.id == upstream.member.id);
-        upstream.usable() && !self.ledger.entries.get(&id).is_some_and(had)
-    }
-
-    /// Latency over the usual: its own or, before the first, that of its kind.
-    fn slowness(&self, upstream: &Upstream) -> f64 {
-        if upstream.measured > 0.0 { upstream.slowness } else { self.kind_slowness[upstream.kind] }
+        upstream.member.phase == Phase::Ready && !self.ledger.entries.get(&id).is_some_and(had)
     }
 
     /// A member that may be sent to at all, the least busy, when draws found none.
@@ -953,34 +979,30 @@
         }
         let group = if upstream.home { &self.subset.home } else { &self.subset.away };
         let rate = warmth * group.warm_rate;
-        let most = 1.0 + rate * 0.5;
-        upstream.tokens = (upstream.tokens + rate * (now - upstream.tokens_at)).min(most);
+        upstream.tokens = (upstream.tokens + rate * (now - upstream.tokens_at)).min(1.0 + rate * 0.5);
         upstream.tokens_at = now;
         upstream.tokens >= 1.0
     }
 
     /// The ONE gate that every attempt passes; it keeps the rules on effects, drains and cold upstreams.
     fn send(&mut self, now: f64, id: RequestId, slot: usize, actions: &mut Vec<Action>) -> bool {
-        if !self.cold_allows(now, slot) {
-            return false;
-        }
-        let Some(entry) = self.ledger.entries.get(&id) else { return false };
-        let class = &self.settings.classes[entry.class.0];
-        let upstream = &self.upstreams[slot];
-        let timeout = self.useful_until(entry) - now;
-        if timeout < LEAST_S
+        let too_cold = !self.cold_allows(now, slot);
+        let Some(entry) = self.ledger.entries.get_mut(&id) else { return false };
+        let upstream = &mut self.upstreams[slot];
+        let timeout = entry.useful_until() - now;
+        let allowed = self.settings.allowed.attempts.min(entry.settings.allowed.attempts) as usize;
+        let left = may_repeat(now, entry.rules().effect, entry.first_run(), &upstream.member);
+        if too_cold
+            || left.is_none()
+            || timeout < LEAST_S
             || entry.closed
             || entry.streaming
-            || !upstream.usable()
-            || entry.attempts.len() >= self.settings.allowed.attempts as usize
+            || upstream.member.phase != Phase::Ready
+            || entry.attempts.len() >= allowed
             || (entry.out > 0 && !self.settings.allowed.second_copies)
         {
             return false;
         }
-        let Some(left) = may_repeat(now, class.effect, entry.first_run(), &upstream.member) else {
-            return false;
-        };
-        let upstream = &mut self.upstreams[slot];
         if upstream.in_flight == 0 {
             upstream.heard = now;
         }
@@ -992,12 +1014,10 @@
         self.subset.in_flight += 1;
         upstream.tokens -= 1.0;
         let member = upstream.member;
-        let most = self.ready.len().min(self.settings.allowed.attempts as usize);
-        let entry = self.ledger.entries.get_mut(&id).expect("looked up above");
         entry.attempts.push(Attempt { slot, member, sent: now, ended: None, withdrawn: false });
         entry.out += 1;
-        let last = entry.attempts.len() >= most || self.ledger.budgets[1] < 1.0;
-        let [timeout, begin_within] = [timeout, left].map(|span| Duration::try_from_secs_f64(span).ok());
+        let last = entry.attempts.len() >= self.ready.len().min(allowed) || self.ledger.budgets[1] < 1.0;
+        let [timeout, begin_within] = [Some(timeout), left].map(|s| Duration::try_from_secs_f64(s?).ok());
         actions.push(Action::Send { request: id, upstream: member.id, timeout, begin_within, last });
         true
     }
@@ -1005,14 +1025,10 @@
     /// The ONE path that ends a request unserved: refused where that is true and invites no wrong one again.
     fn finish(&mut self, id: RequestId, wrong: bool, actions: &mut Vec<Action>) {
         let Some(entry) = self.ledger.entries.get(&id).filter(|entry| !entry.closed) else { return };
-        let effect = self.settings.classes[entry.class.0].effect;
         let harmless = entry.first_run().is_none()
-            || matches!(effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
-        actions.push(if harmless && !wrong {
-            Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after }
-        } else {
-            Action::Fail { request: id }
-        });
+            || matches!(entry.rules().effect, Effect::Safe | Effect::Keyed { scope: DedupScope::All, .. });
+        let refusal = Action::Refuse { request: id, retry_after: self.settings.allowed.retry_after };
+        actions.push(if harmless && !wrong { refusal } else { Action::Fail { request: id } });
         self.close(id, actions);
     }
 
@@ -1028,16 +1044,8 @@
         }
     }
 
-    fn attempt_ended(
-        &mut self,
-        now: f64,
-        id: RequestId,
-        number: AttemptNumber,
-        end: Ending,
-        finished: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let outcome = end.outcome;
+    fn attempt_ended(&mut self, now: f64, id: RequestId, end: Ending, actions: &mut Vec<Action>) {
+        let Ending { number, outcome, finished, .. } = end;
         let Some(entry) = self.ledger.entries.get_mut(&id) else { return };
         let attempt = entry.attempts.get_mut(number.0 as usize);
         let Some(attempt) = attempt.filter(|attempt| attempt.ended.is_none()) else { return };
@@ -1079,7 +1087,7 @@
 
     /// What an outcome tells of its upstream and of the zones.
     fn learn_outcome(&mut self, now: f64, slot: usize, class: ClassId, end: Ending) {
-        let Ending { outcome, took, served } = end;
+        let Ending { outcome, took, served, aim, .. } = end;
         let usual = self.latencies[class.0].seconds();
         let upstream = &mut self.upstreams[slot];
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
@@ -1107,11 +1115,10 @@
             return;
         }
         let warm = upstream.warmth(now, &self.settings) >= 1.0;
-        let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        let crowded = !matches!(outcome, Outcome::Good | Outcome::Error);
         let group = if upstream.home { &mut self.subset.home } else { &mut self.subset.away };
         group.warm_served += u32::from(warm && outcome == Outcome::Good);
-        let delay = if crowded { took.max(aim) } else { took } / aim;
+        let delay =
+            if matches!(outcome, Outcome::Good | Outcome::Error) { took } else { took.max(aim) } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
         // No work is told by a late connection, nor by a time-out before which it left less than the usual time.
         if outcome == Outcome::ConnectTimedOut {
@@ -1156,9 +1163,7 @@
 
     /// What the end of a call tells of the crowd that it met, and so of the limits.
     fn meet(&mut self, now: f64, class: ClassId, tenant: usize, end: Ending, arrived: f64, connecting: f64) {
-        let Ending { outcome, served, .. } = end;
-        let aim = self.settings.classes[class.0].aim.as_secs_f64();
-        let late = now - arrived - connecting > aim;
+        let Ending { outcome, served, aim, .. } = end;
         self.answered.1 += u32::from(outcome == Outcome::ConnectTimedOut);
         let silent = now - self.answered.0 > CROWDING.0 && self.answered.1 >= LATE_IN_A_ROW;
         let bad = match outcome {
@@ -1166,7 +1171,7 @@
             // Late connections tell nothing of a tier that answers others.
             Outcome::ConnectTimedOut if silent => true,
             Outcome::Error => self.tier_failures > CROWDED_ERRORS,
-            Outcome::Good => late,
+            Outcome::Good => now - arrived - connecting > aim,
             _ => return,
         };
         let latency = self.latencies[class.0];
@@ -1187,7 +1192,10 @@
         let all = self.settings.tenants.len();
         let rate = self.suppressors[all].accepted_rate(now);
         let fresh = if arrived < self.drops.0 { BEFORE_DROP } else { 1.0 };
-        let weight = (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh;
+        // Without quotas a limit is cut to what was let in, and what is usual is learned from what came first: before a
+        // second is over neither is known.
+        let new = self.limits[tenant].quota.is_none() && self.suppressors[tenant].is_new();
+        let weight = if new { 0.0 } else { (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh };
         let off = sample - self.crowding.0;
         self.crowding.1 += weight * (off * off - self.crowding.1);
         self.crowding.0 += weight * off;
@@ -1235,10 +1243,7 @@
     // --- Sweep ---
 
     fn sweep(&mut self, now: f64, actions: &mut Vec<Action>) {
-        actions.push(Action::WakeAfter(Duration::from_secs_f64(SWEEP_S)));
-        if self.settings.discovery != DiscoveryMode::Push && now >= self.discovery.ask_at {
-            self.subscribe(now, actions);
-        }
+        self.keep_going(now, actions);
         let unmet = self.suppressors.last_mut().is_some_and(|all| all.accepted_rate(now) == 0.0);
         let faded = self.crowding.0 * if unmet { 1.0 - SWEEP_S / CROWDING.0 } else { 1.0 };
         for (suppressor, limit) in self.suppressors.iter_mut().zip(&mut self.limits) {
@@ -1266,9 +1271,8 @@
         self.subset.learn_stay(self.settings.prices.cross_zone, &mut self.rng);
         for group in [&mut self.subset.home, &mut self.subset.away] {
             let warm = group.members.iter().filter(|&slot| has(slot) >= 1.0).count();
-            let rate = f64::from(group.warm_served) / SWEEP_S / warm.max(1) as f64;
+            let rate = f64::from(take(&mut group.warm_served)) / SWEEP_S / warm.max(1) as f64;
             group.warm_rate += 0.2 * (rate - group.warm_rate);
-            group.warm_served = 0;
         }
     }
 }
