Play the hard cases of the distribution's hosts with real processes and failing disks

Change: tests/hosts_faults.rs (relays killed, paused, ended; parents that lie), hosts_disk.rs (torn writes, failed syncs, full disk, kills after acknowledgement, repeats, crossings), hosts_requests.rs (bounds, garbage, slow and stalled readers). The system's buffer for a reader is bounded (socket2, which is in the lock file already), so that a slow one is merged to the newest; a parent's end is logged once until it speaks again.

--- a/crates/distribution/src/host/client.rs
+++ b/crates/distribution/src/host/client.rs
@@ -1,6 +1,7 @@
 //! The child's side: follows its parents and reports up.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -85,6 +86,8 @@
         C: Future<Output = io::Result<I>>,
         I: AsyncRead + AsyncWrite + Unpin,
     {
+        // Said once by parent, until it speaks again: a cut of minutes is not to fill the log.
+        let mut said: BTreeMap<SocketAddr, String> = BTreeMap::new();
         loop {
             let step = self.parents.borrow_mut().next(self.start.elapsed());
             let address = match step {
@@ -115,9 +118,12 @@
                     error.to_string()
                 }
             };
-            self.current.set(None);
+            let spoke = self.current.take().is_some();
             self.parents.borrow_mut().ended(self.start.elapsed());
-            log(format_args!("{}: the watch at {address} ended: {ended}", self.name));
+            if spoke || said.get(&address) != Some(&ended) {
+                log(format_args!("{}: the watch at {address} ended: {ended}", self.name));
+                said.insert(address, ended);
+            }
         }
     }
 
--- a/crates/distribution/src/host/relay.rs
+++ b/crates/distribution/src/host/relay.rs
@@ -217,7 +217,10 @@
                 store.write(&new, &gone, Some(index))
             });
             match written.await {
-                Ok(Outcome::Written) => break,
+                Ok(Outcome::Written) => {
+                    log(format_args!("kept index {index} on disk"));
+                    break;
+                }
                 Ok(Outcome::NotWritten(error) | Outcome::Unknown(error)) => {
                     log(format_args!("index {index} is not kept on disk: {error}"));
                 }
--- a/crates/distribution/src/host/server.rs
+++ b/crates/distribution/src/host/server.rs
@@ -22,6 +22,7 @@
 use oorandom::Rand64;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{JoinSet, spawn_local};
@@ -44,6 +45,9 @@
 const ANSWER_WITHIN: Duration = Duration::from_secs(20);
 /// Readers have so long to take the end of their watch where the process ends.
 const END_WITHIN: Duration = Duration::from_secs(2);
+/// Bytes that the system holds for a reader, of which it may take twice as many: what waits there is no longer merged
+/// to the newest.
+const SEND_BUFFER: usize = 256 << 10;
 /// Connections beside those of readers.
 const OTHERS_MOST: usize = 256;
 /// Bytes of a body over its bound that are still read, so that the sender hears why it is refused.
@@ -275,6 +279,7 @@
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         // Lines are small and are to go at once.
         let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
         let watched =
             Rc::new(Watched { by: Cell::new(Some(Instant::now() + REQUEST_WITHIN)), stalled: Notify::new() });
         let service = service_fn(|request| {
@@ -325,6 +330,7 @@
                         Ok(Below { who, sums }) => reports.take_sums(now, &who, sums),
                         Err(_) => {
                             let why = format!("expected a report or sums: {error}");
+                            log(format_args!("refused a report: {why}"));
                             return refuse(StatusCode::BAD_REQUEST, &why);
                         }
                     },
--- a/crates/distribution/tests/hosts_common/mod.rs
+++ b/crates/distribution/tests/hosts_common/mod.rs
@@ -15,10 +15,12 @@
 use fennelhatch_distribution::document::Scope;
 use fennelhatch_distribution::host::call::{Call, CallError, call_to};
 use fennelhatch_distribution::host::client::{self, Client};
+use fennelhatch_distribution::parents::{Parents, Step};
 use fennelhatch_distribution::report::InForce;
 use fennelhatch_distribution::state::State;
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
@@ -175,6 +177,12 @@
     }
 }
 
+/// A seed by which a child with so many parents begins with this one.
+pub fn beginning_with(first: usize, count: usize) -> u64 {
+    let begins = |seed: &u64| Parents::new(count, *seed).next(Duration::ZERO) == Step::Follow(first);
+    (0..).find(begins).expect("a seed")
+}
+
 /// Asks for a change; `None` withdraws.
 pub async fn change(
     to: SocketAddr,
@@ -220,6 +228,21 @@
     Ok((status, serde_json::from_slice(&text).unwrap_or(Value::Null)))
 }
 
+/// Waits until a process tells an index, so that a child that begins with it stays.
+pub async fn told(to: SocketAddr, index: u64) {
+    within(&format!("{to} tells index {index}"), async {
+        loop {
+            if let Ok((StatusCode::OK, whole)) = get(to, "/configuration").await
+                && whole["index"].as_u64() >= Some(index)
+            {
+                return;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
+
 /// Asks for what is in force below until it is as it must be.
 pub async fn status_until(to: SocketAddr, what: &str, fits: impl Fn(&Value) -> bool) {
     let mut last = Value::Null;
@@ -249,6 +272,21 @@
 
 impl Follower {
     pub fn start(name: &str, parents: &[SocketAddr], scopes: &[&str], seed: u64) -> Self {
+        Self::over(name, parents, scopes, seed, TcpStream::connect::<SocketAddr>)
+    }
+
+    /// One whose connections are opened by `connect`.
+    pub fn over<I, C>(
+        name: &str,
+        parents: &[SocketAddr],
+        scopes: &[&str],
+        seed: u64,
+        connect: impl Fn(SocketAddr) -> C + 'static,
+    ) -> Self
+    where
+        C: Future<Output = std::io::Result<I>> + 'static,
+        I: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
         let wanted = scopes.iter().map(|scope| scope.parse().expect("a scope")).collect();
         let client = Client { name: name.to_owned(), parents: parents.to_vec(), wanted, seed };
         let (sender, states) = mpsc::unbounded_channel();
@@ -258,7 +296,7 @@
             let scopes = client.wanted.clone();
             let connect = |address| {
                 let _ = called.send(address);
-                TcpStream::connect(address)
+                connect(address)
             };
             let take = |state: &State, _: &[Scope]| {
                 let _ = sender.send(state.clone());
@@ -291,6 +329,11 @@
         self.until(&format!("index {index}"), |state| state.index() >= index).await;
     }
 
+    /// Whether it has taken nothing in since the last wait.
+    pub fn has_taken_nothing(&self) -> bool {
+        self.states.is_empty()
+    }
+
     /// Waits until it calls a parent.
     pub async fn calls(&mut self, parent: SocketAddr) {
         within("a call", async { while self.connects.recv().await.expect("the child goes on") != parent {} })
--- /dev/null
+++ b/crates/distribution/tests/hosts_disk.rs
@@ -0,0 +1,474 @@
+//! The origin's disk: what it acknowledged is kept, whatever fails.
+
+mod hosts_common;
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use fennelhatch_distribution::document::Document;
+use fennelhatch_distribution::host::origin::OriginHost;
+use fennelhatch_distribution::host::server::Limits;
+use fennelhatch_distribution::host::store::{Found, Outcome, Store};
+use fennelhatch_distribution::origin::{Bounds, Record};
+use hosts_common::{
+    Directory, Follower, Process, address, big_document, change, document, get, play, publish, within,
+};
+use hyper::StatusCode;
+use redb::{Builder, Database, DatabaseError, StorageBackend};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+
+/// A disk that fails as it is told. What was not synced is lost with its power.
+#[derive(Debug, Default, Clone)]
+struct Disk {
+    synced: Vec<u8>,
+    /// As readers see it.
+    seen: Vec<u8>,
+    /// Since the last sync, in order.
+    writes: Vec<Write>,
+    /// Syncs that fail from now on.
+    failing_syncs: u32,
+    /// Openings that fail from now on.
+    failing_openings: u32,
+    /// Bytes that it takes.
+    room: Option<usize>,
+}
+
+#[derive(Debug, Clone)]
+enum Write {
+    Length(usize),
+    Bytes(usize, Vec<u8>),
+}
+
+impl Write {
+    fn apply(&self, image: &mut Vec<u8>) {
+        match self {
+            Self::Length(length) => image.resize(*length, 0),
+            Self::Bytes(at, bytes) => image[*at..at + bytes.len()].copy_from_slice(bytes),
+        }
+    }
+}
+
+#[derive(Debug, Default, Clone)]
+struct Shared(Arc<Mutex<Disk>>);
+
+impl Shared {
+    fn disk(&self) -> MutexGuard<'_, Disk> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn open(&self) -> Result<Database, DatabaseError> {
+        let mut disk = self.disk();
+        if disk.failing_openings > 0 {
+            disk.failing_openings -= 1;
+            return Err(io::Error::other("the disk is gone").into());
+        }
+        drop(disk);
+        Builder::new().create_with_backend(self.clone())
+    }
+
+    fn store(&self) -> (Store, Found) {
+        let disk = self.clone();
+        Store::over(move || disk.open()).expect("it opens")
+    }
+
+    fn with(image: Vec<u8>) -> Self {
+        Self(Arc::new(Mutex::new(Disk { synced: image.clone(), seen: image, ..Disk::default() })))
+    }
+
+    /// After a loss of power.
+    fn rebooted(&self) -> Self {
+        Self::with(self.disk().synced.clone())
+    }
+}
+
+fn offset(value: u64) -> usize {
+    usize::try_from(value).expect("it fits")
+}
+
+impl StorageBackend for Shared {
+    fn len(&self) -> io::Result<u64> {
+        Ok(self.disk().seen.len() as u64)
+    }
+
+    fn read(&self, at: u64, length: usize) -> io::Result<Vec<u8>> {
+        let at = offset(at);
+        let part = self.disk().seen.get(at..at + length).map(<[u8]>::to_vec);
+        part.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))
+    }
+
+    fn set_len(&self, length: u64) -> io::Result<()> {
+        let (mut disk, length) = (self.disk(), offset(length));
+        if disk.room.is_some_and(|room| length > room) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        disk.seen.resize(length, 0);
+        disk.writes.push(Write::Length(length));
+        Ok(())
+    }
+
+    fn sync_data(&self, _: bool) -> io::Result<()> {
+        let mut disk = self.disk();
+        if disk.failing_syncs > 0 {
+            disk.failing_syncs -= 1;
+            // What readers see is not on disk, and is not tried again.
+            disk.writes.clear();
+            return Err(io::Error::other("the sync failed"));
+        }
+        let writes = std::mem::take(&mut disk.writes);
+        for write in writes {
+            write.apply(&mut disk.synced);
+        }
+        Ok(())
+    }
+
+    fn write(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
+        let (mut disk, at) = (self.disk(), offset(at));
+        if at + bytes.len() > disk.seen.len() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        disk.seen[at..at + bytes.len()].copy_from_slice(bytes);
+        disk.writes.push(Write::Bytes(at, bytes.to_vec()));
+        Ok(())
+    }
+}
+
+fn record(index: u64, body: &str) -> Record {
+    let scope = "service/api".parse().unwrap();
+    Record { index, document: Document::new(scope, index, body.into()), request: format!("r{index}").into() }
+}
+
+fn indexes(found: &Found) -> Vec<u64> {
+    found.records.iter().map(|record| record.index).collect()
+}
+
+#[test]
+fn a_last_write_torn_anywhere_leaves_all_that_was_acknowledged() {
+    let disk = Shared::default();
+    let (mut store, _) = disk.store();
+    for index in 1..=5 {
+        let outcome = store.write(&[record(index, &document(index))], &[], None);
+        assert!(matches!(outcome, Outcome::Written));
+    }
+    // The sixth is on its way: its writes are caught before the sync.
+    let before = disk.disk().synced.clone();
+    disk.disk().failing_syncs = 0;
+    let log = Arc::new(Mutex::new(Vec::new()));
+    let caught = Catching { disk: disk.clone(), log: Arc::clone(&log) };
+    drop(store);
+    let (mut store, found) = {
+        let caught = caught.clone();
+        Store::over(move || Builder::new().create_with_backend(caught.clone())).unwrap()
+    };
+    assert_eq!(indexes(&found), [1, 2, 3, 4, 5]);
+    let begun = log.lock().unwrap().len();
+    let opened = disk.disk().synced.clone();
+    assert!(matches!(store.write(&[record(6, &big_document(20_000))], &[], None), Outcome::Written));
+    let writes: Vec<Write> = log.lock().unwrap()[begun..].to_vec();
+    assert!(writes.len() > 2 && before.len() <= opened.len(), "{}", writes.len());
+    let mut seen = BTreeSet::new();
+    for torn in 0..writes.len() {
+        for share in [0, 1, 2, 3] {
+            // All before it, and of this one a part.
+            let mut image = opened.clone();
+            writes[..torn].iter().for_each(|write| write.apply(&mut image));
+            if let Write::Bytes(at, bytes) = &writes[torn] {
+                Write::Bytes(*at, bytes[..bytes.len() * share / 4].to_vec()).apply(&mut image);
+            }
+            let (mut store, found) = Shared::with(image).store();
+            let kept = indexes(&found);
+            assert_eq!(kept[..5], [1, 2, 3, 4, 5], "torn at {torn} of {}", writes.len());
+            assert!(found.records.iter().all(|record| record.document.is_whole()));
+            seen.insert(kept.len());
+            // It takes further ones.
+            assert!(matches!(store.write(&[record(7, &document(7))], &[], None), Outcome::Written));
+        }
+    }
+    // A torn header counts as the one before it; one that is whole without the sync may stand.
+    assert!(seen.contains(&5), "{seen:?}");
+}
+
+/// Notes each write of a disk.
+#[derive(Debug, Clone)]
+struct Catching {
+    disk: Shared,
+    log: Arc<Mutex<Vec<Write>>>,
+}
+
+impl StorageBackend for Catching {
+    fn len(&self) -> io::Result<u64> {
+        self.disk.len()
+    }
+
+    fn read(&self, at: u64, length: usize) -> io::Result<Vec<u8>> {
+        self.disk.read(at, length)
+    }
+
+    fn set_len(&self, length: u64) -> io::Result<()> {
+        self.log.lock().unwrap().push(Write::Length(offset(length)));
+        self.disk.set_len(length)
+    }
+
+    fn sync_data(&self, eventual: bool) -> io::Result<()> {
+        self.disk.sync_data(eventual)
+    }
+
+    fn write(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
+        self.log.lock().unwrap().push(Write::Bytes(offset(at), bytes.to_vec()));
+        self.disk.write(at, bytes)
+    }
+}
+
+#[test]
+fn what_was_written_outlasts_a_loss_of_power_and_what_was_not_does_not_come_back() {
+    // Each of the syncs of a write may be the one that fails.
+    for failing in 1..=3 {
+        let disk = Shared::default();
+        let (mut store, _) = disk.store();
+        assert!(matches!(store.write(&[record(1, &document(1))], &[], None), Outcome::Written));
+        disk.disk().failing_syncs = failing;
+        let outcome = store.write(&[record(2, &document(2))], &[], None);
+        disk.disk().failing_syncs = 0;
+        let kept = indexes(&disk.rebooted().store().1);
+        match outcome {
+            Outcome::Written => assert_eq!(kept, [1, 2], "{failing} syncs failed"),
+            Outcome::NotWritten(_) => {
+                assert_eq!(kept, [1], "{failing} syncs failed");
+                assert!(matches!(store.write(&[record(2, &document(3))], &[], None), Outcome::Written));
+                let found = disk.rebooted().store().1;
+                assert_eq!(&*found.records[1].document.body, document(3));
+            }
+            Outcome::Unknown(_) => {
+                // Written again, it is known.
+                assert!(matches!(store.write(&[record(2, &document(2))], &[], None), Outcome::Written));
+                assert_eq!(indexes(&disk.rebooted().store().1), [1, 2]);
+            }
+        }
+    }
+}
+
+/// An origin in this process, over a disk that fails as it is told.
+async fn origin_over(disk: &Shared) -> (SocketAddr, JoinHandle<()>) {
+    let check = Box::new(|_: &_, _: &str| Vec::new());
+    let host = OriginHost::new(disk.store(), Bounds::default(), Limits::default(), 0, check, 1).unwrap();
+    let listener = TcpListener::bind(address()).await.unwrap();
+    let own = listener.local_addr().unwrap();
+    (own, spawn_local(host.run(listener, std::future::pending())))
+}
+
+#[test]
+fn a_full_disk_is_told_and_readers_are_served_on() {
+    play(async {
+        let disk = Shared::default();
+        let (origin, running) = origin_over(&disk).await;
+        publish(origin, "service/api", &document(1), "1").await;
+        let mut child = Follower::start("api-1", &[origin], &["service/api"], 1);
+        child.until_index(1).await;
+        let full = disk.disk().seen.len();
+        disk.disk().room = Some(full);
+        let big = big_document(250_000);
+        let mut refused = 0;
+        // Until the file would have to grow.
+        for number in 2..40 {
+            let id = format!("big {number}");
+            let (status, answer) =
+                change(origin, &format!("service/s{number}"), Some(&big), &id, None).await.unwrap();
+            if status == StatusCode::INSUFFICIENT_STORAGE {
+                assert!(answer["error"].as_str().unwrap().starts_with("not written"), "{answer}");
+                refused = number;
+                break;
+            }
+            assert_eq!(status, StatusCode::OK, "{answer}");
+        }
+        assert!(refused > 0, "the disk did not fill up");
+        // Nothing of it is seen, and readers old and new are served.
+        let whole = get(origin, "/configuration").await.unwrap().1;
+        let scope = format!("service/s{refused}");
+        assert!(whole["documents"].as_array().unwrap().iter().all(|document| document["scope"] != scope));
+        let index = whole["index"].as_u64().unwrap();
+        let mut late = Follower::start("api-2", &[origin], &["service/api"], 2);
+        late.until("the document", |state| state.documents().count() == 1).await;
+        disk.disk().room = None;
+        // The same request again has its index now, the next one.
+        assert_eq!(publish(origin, &scope, &big, &format!("big {refused}")).await, index + 1);
+        assert_eq!(publish(origin, "service/api", &document(2), "2").await, index + 2);
+        child.until_index(index + 2).await;
+        running.abort();
+        let (again, _running) = origin_over(&disk.rebooted()).await;
+        assert_eq!(get(again, "/configuration").await.unwrap().1["index"], index + 2);
+    });
+}
+
+#[test]
+fn where_a_write_cannot_be_known_nothing_is_accepted_until_it_is() {
+    play(async {
+        let disk = Shared::default();
+        let (origin, running) = origin_over(&disk).await;
+        publish(origin, "service/api", &document(1), "1").await;
+        let mut child = Follower::start("api-1", &[origin], &["service/api"], 1);
+        child.until_index(1).await;
+        {
+            let mut disk = disk.disk();
+            (disk.failing_syncs, disk.failing_openings) = (1, 3);
+        }
+        for (id, number) in [("2", 2), ("3", 3)] {
+            let body = document(number);
+            let (status, answer) = change(origin, "service/api", Some(&body), id, None).await.unwrap();
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+            assert!(answer["error"].as_str().unwrap().contains("is unknown"), "{answer}");
+        }
+        // Readers are served with what was there.
+        let mut late = Follower::start("api-2", &[origin], &["service/api"], 2);
+        late.until_index(1).await;
+        assert_eq!(late.body("service/api"), Some(document(1)));
+        // The disk is back: the open one is settled first, and its repeat has its answer.
+        assert_eq!(publish(origin, "service/api", &document(3), "3").await, 3);
+        assert_eq!(publish(origin, "service/api", &document(2), "2").await, 2);
+        child.until_index(3).await;
+        assert_eq!(child.body("service/api"), Some(document(3)));
+        running.abort();
+        let found = disk.rebooted().store().1;
+        assert_eq!(indexes(&found), [1, 2, 3]);
+    });
+}
+
+#[test]
+fn a_failed_sync_is_told_and_the_next_publication_goes_on() {
+    play(async {
+        let disk = Shared::default();
+        let (origin, _running) = origin_over(&disk).await;
+        publish(origin, "service/api", &document(1), "1").await;
+        disk.disk().failing_syncs = 1;
+        let body = document(2);
+        let (status, answer) = change(origin, "service/api", Some(&body), "2", None).await.unwrap();
+        let index = publish(origin, "service/api", &body, "2").await;
+        assert_eq!(index, 2, "{status} {answer}");
+        assert_eq!(publish(origin, "service/api", &document(3), "3").await, 3);
+        assert_eq!(indexes(&disk.rebooted().store().1), [1, 2, 3]);
+    });
+}
+
+#[test]
+fn records_that_nothing_needs_are_deleted() {
+    play(async {
+        let disk = Shared::default();
+        let check = Box::new(|_: &_, _: &str| Vec::new());
+        let bounds = Bounds { requests_most: 3, ..Bounds::default() };
+        let host = OriginHost::new(disk.store(), bounds, Limits::default(), 0, check, 1).unwrap();
+        let listener = TcpListener::bind(address()).await.unwrap();
+        let origin = listener.local_addr().unwrap();
+        let running = spawn_local(host.run(listener, std::future::pending()));
+        publish(origin, "fleet", &document(1), "1").await;
+        for number in 2..=20 {
+            publish(origin, "service/api", &document(number), &number.to_string()).await;
+        }
+        running.abort();
+        let found = disk.rebooted().store().1;
+        let kept = indexes(&found);
+        // The newest of each scope, the remembered ones, and what the last write did not know of yet.
+        assert!(kept.len() <= 5 && kept.contains(&1) && kept.ends_with(&[18, 19, 20]), "{kept:?}");
+        let (again, _running) = origin_over(&disk.rebooted()).await;
+        assert_eq!(publish(again, "service/api", &document(20), "20").await, 20);
+        assert_eq!(publish(again, "service/api", &document(21), "21").await, 21);
+    });
+}
+
+#[test]
+fn an_origin_killed_right_after_an_acknowledgement() {
+    play(async {
+        let directory = Directory::new("acknowledged");
+        let mut origin = Process::origin(&directory, address());
+        let mut child = Follower::start("api-1", &[origin.address], &["service/api"], 1);
+        for number in 1..=5 {
+            assert_eq!(
+                publish(origin.address, "service/api", &document(number), &number.to_string()).await,
+                number
+            );
+            origin.kill();
+            origin = Process::origin(&directory, origin.address);
+            let whole = get(origin.address, "/configuration").await.unwrap().1;
+            assert_eq!(whole["index"], number);
+            assert_eq!(whole["documents"][0]["body"]["settings"]["overShareWorth"], number);
+        }
+        child.until_index(5).await;
+    });
+}
+
+#[test]
+fn a_second_origin_on_the_same_directory_does_not_begin() {
+    let directory = Directory::new("second");
+    let _origin = Process::origin(&directory, address());
+    let output = hosts_common::binary()
+        .args(["origin", "--listen", &address().to_string(), "--dir", directory.path().to_str().unwrap()])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2), "{}", String::from_utf8_lossy(&output.stderr));
+}
+
+#[test]
+fn a_publication_repeated_after_a_lost_answer() {
+    play(async {
+        let directory = Directory::new("repeated");
+        let mut origin = Process::origin(&directory, address());
+        let body = document(1);
+        // The publisher goes before the answer comes.
+        let mut stream = TcpStream::connect(origin.address).await.unwrap();
+        let request = format!(
+            "PUT /configuration/service/api HTTP/1.1\r\nhost: x\r\nx-request-id: one\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        drop(stream);
+        assert_eq!(publish(origin.address, "service/api", &body, "one").await, 1);
+        assert_eq!(publish(origin.address, "service/api", &document(2), "two").await, 2);
+        assert_eq!(publish(origin.address, "service/api", &body, "one").await, 1);
+        origin.kill();
+        let origin = Process::origin(&directory, origin.address);
+        assert_eq!(publish(origin.address, "service/api", &body, "one").await, 1);
+        let (status, answer) =
+            change(origin.address, "service/api", Some(&document(3)), "one", None).await.unwrap();
+        assert_eq!(status, StatusCode::CONFLICT, "{answer}");
+        let whole = get(origin.address, "/configuration").await.unwrap().1;
+        assert_eq!(whole["index"], 2);
+        assert_eq!(whole["documents"][0]["body"], json!({ "settings": { "overShareWorth": 2 } }));
+    });
+}
+
+#[test]
+fn two_publishers_crossing() {
+    play(async {
+        let directory = Directory::new("crossing");
+        let origin = Process::origin(&directory, address());
+        let mut version = publish(origin.address, "fleet", &document(0), "0").await;
+        for round in 1..=10 {
+            let (left, right) = (document(2 * round), document(2 * round + 1));
+            let (left_id, right_id) = (format!("left {round}"), format!("right {round}"));
+            let to = origin.address;
+            let (left, right) = tokio::join!(
+                change(to, "fleet", Some(&left), &left_id, Some(version)),
+                change(to, "fleet", Some(&right), &right_id, Some(version)),
+            );
+            let mut answers = [left.unwrap(), right.unwrap()];
+            answers.sort_by_key(|(status, _)| *status);
+            assert_eq!(answers[0], (StatusCode::OK, json!({ "index": version + 1 })));
+            assert_eq!((answers[1].0, &answers[1].1["have"]), (StatusCode::CONFLICT, &json!(version + 1)));
+            version += 1;
+        }
+        // Without a condition both are accepted, one after the other.
+        let (left, right) = (document(1), document(2));
+        let (left, right) = tokio::join!(
+            publish(origin.address, "fleet", &left, "left"),
+            publish(origin.address, "service/api", &right, "right")
+        );
+        assert_eq!(BTreeSet::from([left, right]), BTreeSet::from([version + 1, version + 2]));
+        let mut rest = Vec::new();
+        let mut stream = TcpStream::connect(origin.address).await.unwrap();
+        stream.write_all(b"GET /configuration HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+        within("an answer", stream.read_to_end(&mut rest)).await.unwrap();
+        assert!(rest.starts_with(b"HTTP/1.1 200"));
+    });
+}
--- /dev/null
+++ b/crates/distribution/tests/hosts_faults.rs
@@ -0,0 +1,427 @@
+//! Relays and parents that fail, beside real processes on loopback.
+
+mod hosts_common;
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use fennelhatch_distribution::document::{Digest, Document, Scope, Update};
+use hosts_common::{
+    Directory, Follower, Process, address, beginning_with, big_document, document, get, play, publish,
+    status_until, told, within,
+};
+use hyper::StatusCode;
+use serde_json::json;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+const SCOPES: [&str; 3] = ["fleet", "region/north", "service/api"];
+
+/// A connection that is read up to a number of bytes, and further once it is let go.
+struct Gated {
+    stream: TcpStream,
+    gate: Rc<Gate>,
+    room: usize,
+}
+
+#[derive(Default)]
+struct Gate {
+    open: Cell<bool>,
+    /// It holds a reader back.
+    held: Notify,
+    waker: Cell<Option<std::task::Waker>>,
+}
+
+impl Gate {
+    fn let_go(&self) {
+        self.open.set(true);
+        self.waker.take().into_iter().for_each(std::task::Waker::wake);
+    }
+}
+
+impl AsyncRead for Gated {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.gate.open.get() {
+            return Pin::new(&mut self.stream).poll_read(context, into);
+        }
+        if self.room == 0 {
+            self.gate.held.notify_one();
+            self.gate.waker.set(Some(context.waker().clone()));
+            return Poll::Pending;
+        }
+        let mut part = [0; 1024];
+        let room = self.room.min(part.len()).min(into.remaining());
+        let mut buffer = ReadBuf::new(&mut part[..room]);
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer);
+        self.room -= buffer.filled().len();
+        into.put_slice(buffer.filled());
+        read
+    }
+}
+
+impl AsyncWrite for Gated {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Connects with a small buffer, so that what is not read stays with the sender.
+async fn connect_narrow(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(4096)?;
+    socket.connect(address).await
+}
+
+#[test]
+fn a_relay_killed_in_the_middle_of_a_document() {
+    play(async {
+        let directory = Directory::new("middle");
+        let origin = Process::origin(&directory, address());
+        let mut first = Process::relay(1, &[origin.address], address());
+        let second = Process::relay(1, &[origin.address], address());
+        // Together more than the buffers between relay and child take.
+        let big = big_document(250 << 10);
+        for scope in SCOPES {
+            publish(origin.address, scope, &big, scope).await;
+        }
+        told(first.address, 3).await;
+        told(second.address, 3).await;
+        let gate = Rc::new(Gate::default());
+        let (parents, made) = ([first.address, second.address], Rc::clone(&gate));
+        let connect = move |address| {
+            let gate = Rc::clone(&made);
+            async move { Ok(Gated { stream: connect_narrow(address).await?, gate, room: 64 << 10 }) }
+        };
+        let mut child = Follower::over("slow", &parents, &SCOPES, beginning_with(0, 2), connect);
+        child.calls(first.address).await;
+        within("the line is under way", gate.held.notified()).await;
+        first.kill();
+        gate.let_go();
+        child.calls(second.address).await;
+        assert!(child.has_taken_nothing(), "a part of a line was taken in");
+        child.until_index(3).await;
+        for scope in SCOPES {
+            assert_eq!(child.body(scope).as_ref(), Some(&big));
+        }
+    });
+}
+
+#[test]
+fn a_relay_paused_and_woken() {
+    play(async {
+        let directory = Directory::new("paused");
+        let origin = Process::origin(&directory, address());
+        let relays = [1, 2].map(|_| Process::relay(1, &[origin.address], address()));
+        let parents = [relays[0].address, relays[1].address];
+        publish(origin.address, "fleet", &document(1), "1").await;
+        told(parents[0], 1).await;
+        told(parents[1], 1).await;
+        let mut child = Follower::start("api-1", &parents, &SCOPES, beginning_with(0, 2));
+        child.calls(parents[0]).await;
+        child.until_index(1).await;
+        relays[0].signal("STOP");
+        publish(origin.address, "fleet", &document(2), "2").await;
+        child.calls(parents[1]).await;
+        child.until_index(2).await;
+        relays[0].signal("CONT");
+        relays[1].signal("STOP");
+        publish(origin.address, "fleet", &document(3), "3").await;
+        child.calls(parents[0]).await;
+        child.until_index(3).await;
+        assert_eq!(child.body("fleet"), Some(document(3)));
+        relays[1].signal("CONT");
+    });
+}
+
+#[test]
+fn both_relays_of_a_zone_killed() {
+    play(async {
+        let directory = Directory::new("zone");
+        let origin = Process::origin(&directory, address());
+        let region = Process::relay(1, &[origin.address], address());
+        let mut zone = [1, 2].map(|_| Process::relay(2, &[region.address], address()));
+        let parents = [zone[0].address, zone[1].address, region.address];
+        let start = |number: u64| Follower::start(&format!("api-{number}"), &parents, &SCOPES, number);
+        let mut children: Vec<Follower> = (0..10).map(start).collect();
+        publish(origin.address, "fleet", &document(1), "1").await;
+        for child in &mut children {
+            child.until_index(1).await;
+        }
+        zone.iter_mut().for_each(Process::kill);
+        publish(origin.address, "region/north", &document(2), "2").await;
+        for child in &mut children {
+            child.until_index(2).await;
+            assert_eq!(child.body("region/north"), Some(document(2)));
+        }
+    });
+}
+
+#[test]
+fn all_children_reconnecting_at_once() {
+    play(async {
+        let directory = Directory::new("all");
+        let origin = Process::origin(&directory, address());
+        let mut relays = [1, 2].map(|_| Process::relay(1, &[origin.address], address()));
+        let parents = [relays[0].address, relays[1].address];
+        let start = |number: u64| Follower::start(&format!("api-{number}"), &parents, &SCOPES, number);
+        let mut children: Vec<Follower> = (0..100).map(start).collect();
+        publish(origin.address, "fleet", &document(1), "1").await;
+        for child in &mut children {
+            child.until_index(1).await;
+        }
+        relays.iter_mut().for_each(Process::kill);
+        relays[0] = Process::relay(1, &[origin.address], parents[0]);
+        publish(origin.address, "fleet", &document(2), "2").await;
+        for child in &mut children {
+            child.until_index(2).await;
+        }
+        status_until(origin.address, "all are in the sums", |status| {
+            status["children"] == 100 && status["holders"]["fleet"]["versions"] == json!({ "2": 100 })
+        })
+        .await;
+    });
+}
+
+#[test]
+fn sigterm_of_a_relay_under_readers() {
+    play(async {
+        let directory = Directory::new("sigterm");
+        let origin = Process::origin(&directory, address());
+        let mut relays = [1, 2].map(|_| Process::relay(1, &[origin.address], address()));
+        let parents = [relays[0].address, relays[1].address];
+        publish(origin.address, "fleet", &document(1), "1").await;
+        told(parents[0], 1).await;
+        told(parents[1], 1).await;
+        let mut children: Vec<Follower> = (0..20)
+            .map(|number| Follower::start(&format!("api-{number}"), &parents, &SCOPES, beginning_with(0, 2)))
+            .collect();
+        for child in &mut children {
+            child.until_index(1).await;
+        }
+        let mut reader = TcpStream::connect(parents[0]).await.unwrap();
+        reader.write_all(b"GET /configuration?follow=1&since=0 HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+        let mut text = vec![0; 4096];
+        within("a line", async {
+            while !String::from_utf8_lossy(&text).contains("documents") {
+                assert_ne!(reader.read(&mut text).await.unwrap(), 0);
+            }
+        })
+        .await;
+        relays[0].signal("TERM");
+        let mut rest = Vec::new();
+        within("the end of the watch", reader.read_to_end(&mut rest)).await.unwrap();
+        // The last chunk of a body that ends in order.
+        assert!(rest.ends_with(b"0\r\n\r\n"), "{:?}", String::from_utf8_lossy(&rest));
+        assert!(relays[0].end().await.success(), "{}", relays[0].log());
+        publish(origin.address, "fleet", &document(2), "2").await;
+        for child in &mut children {
+            child.calls(parents[1]).await;
+            child.until_index(2).await;
+        }
+    });
+}
+
+/// A parent that answers a watch with these bytes and then says nothing.
+async fn lying_parent(said: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind(address()).await.unwrap();
+    let own = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let said = said.clone();
+            spawn_local(async move {
+                let mut request = [0; 4096];
+                let _ = stream.read(&mut request).await;
+                let head = b"HTTP/1.1 200 OK\r\nx-level: 0\r\ntransfer-encoding: chunked\r\n\r\n";
+                let _ = stream.write_all(head).await;
+                if !said.is_empty() {
+                    let size = format!("{:x}\r\n", said.len());
+                    let _ = stream.write_all(size.as_bytes()).await;
+                    let _ = stream.write_all(&said).await;
+                    let _ = stream.write_all(b"\r\n").await;
+                }
+                // Until the reader goes.
+                while stream.read(&mut request).await.is_ok_and(|read| read > 0) {}
+            });
+        }
+    });
+    own
+}
+
+/// A child that begins with a parent that says this must leave it, take nothing from it, and have the truth from
+/// another.
+async fn is_left(name: &str, said: Vec<u8>) {
+    let directory = Directory::new(name);
+    let origin = Process::origin(&directory, address());
+    publish(origin.address, "service/api", &document(1), "1").await;
+    let liar = lying_parent(said).await;
+    let parents = [liar, origin.address];
+    let mut child = Follower::start("api-1", &parents, &SCOPES, beginning_with(0, 2));
+    child.calls(liar).await;
+    child.calls(origin.address).await;
+    assert!(child.has_taken_nothing(), "something of it was taken in");
+    child.until_index(1).await;
+    assert_eq!(child.state.documents().count(), 1);
+    assert_eq!(child.body("service/api"), Some(document(1)));
+}
+
+/// A line that tells one document, as a whole.
+fn line_of(scope: &str, index: u64, body: &str) -> Vec<u8> {
+    let scope: Scope = scope.parse().unwrap();
+    let documents = vec![Document::new(scope, index, body.into())];
+    let update = Update { index, snapshot: true, after: 0, stale_s: 0, documents };
+    let mut line = serde_json::to_vec(&update).unwrap();
+    line.push(b'\n');
+    line
+}
+
+#[test]
+fn a_parent_that_answers_and_never_speaks() {
+    play(is_left("speechless", Vec::new()));
+}
+
+#[test]
+fn a_parent_that_says_half_a_line() {
+    let mut line = line_of("service/api", 7, &document(7));
+    line.truncate(line.len() / 2);
+    play(is_left("half", line));
+}
+
+#[test]
+fn a_parent_that_says_garbage() {
+    play(is_left("garbage", b"\x00\xff{]\n".to_vec()));
+}
+
+#[test]
+fn a_parent_that_says_a_document_of_one_mebibyte() {
+    play(is_left("large", line_of("service/api", 7, &big_document(1 << 20))));
+}
+
+#[test]
+fn a_parent_that_says_a_line_without_end() {
+    play(is_left("endless", vec![b' '; 4 << 20]));
+}
+
+#[test]
+fn a_parent_that_says_a_document_of_another_service() {
+    play(is_left("another", line_of("service/other", 7, &document(7))));
+}
+
+#[test]
+fn a_parent_that_says_a_damaged_document() {
+    let scope: Scope = "service/api".parse().unwrap();
+    let digest = Digest::of(&scope, 7, &document(7));
+    let documents = vec![Document { scope, version: 7, digest, body: document(8).into() }];
+    let update = Update { index: 7, snapshot: true, after: 0, stale_s: 0, documents };
+    let mut line = serde_json::to_vec(&update).unwrap();
+    line.push(b'\n');
+    play(is_left("damaged", line));
+}
+
+#[test]
+fn a_relay_without_a_word_from_above_tells_no_empty_whole() {
+    play(async {
+        let directory = Directory::new("wordless");
+        let nobody = address();
+        let relay = Process::relay(1, &[nobody], address());
+        for path in ["/configuration", "/configuration?follow=1&since=0"] {
+            let (status, answer) = get(relay.address, path).await.unwrap();
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+        }
+        let mut child = Follower::start("api-1", &[relay.address], &SCOPES, 1);
+        child.calls(relay.address).await;
+        child.calls(relay.address).await;
+        assert!(child.has_taken_nothing());
+        let origin = Process::origin(&directory, nobody);
+        publish(origin.address, "fleet", &document(1), "1").await;
+        child.until_index(1).await;
+    });
+}
+
+#[test]
+fn a_relay_cut_off_serves_what_its_directory_has_and_says_that_it_is_stale() {
+    play(async {
+        let (directory, kept) = (Directory::new("cut-origin"), Directory::new("cut-relay"));
+        let mut origin = Process::origin(&directory, address());
+        publish(origin.address, "fleet", &document(1), "1").await;
+        publish(origin.address, "service/api", &document(2), "2").await;
+        let (above, own) = (origin.address.to_string(), address());
+        let place = kept.path().to_str().unwrap();
+        let arguments = ["relay", "--level", "1", "--parent", &above, "--dir", place];
+        let mut relay = Process::start(&arguments, own);
+        let mut child = Follower::start("api-1", &[own], &SCOPES, 1);
+        child.until_index(2).await;
+        relay.says("kept index 2").await;
+        origin.kill();
+        relay.kill();
+        let _relay = Process::start(&arguments, own);
+        let mut late = Follower::start("api-2", &[own], &SCOPES, 1);
+        late.until_index(2).await;
+        assert_eq!(late.body("service/api"), Some(document(2)));
+        within("it says that it is stale", async {
+            loop {
+                let path = "/configuration?since=2";
+                let (status, answer) = get(own, path).await.unwrap();
+                assert_eq!(status, StatusCode::OK);
+                if answer["stale_s"].as_u64().unwrap_or(0) > 0 {
+                    assert_eq!((&answer["index"], &answer["documents"]), (&json!(2), &json!([])));
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+        // An origin on a copy of that directory goes on from there.
+        let copy = Directory::new("cut-copy");
+        for entry in std::fs::read_dir(kept.path()).unwrap() {
+            let entry = entry.unwrap();
+            std::fs::copy(entry.path(), copy.path().join(entry.file_name())).unwrap();
+        }
+        let origin = Process::origin(&copy, origin.address);
+        assert_eq!(publish(origin.address, "fleet", &document(3), "3").await, 3);
+        late.until_index(3).await;
+        assert_eq!(late.body("fleet"), Some(document(3)));
+        assert_eq!(late.body("service/api"), Some(document(2)));
+    });
+}
+
+#[test]
+fn relays_that_name_each_other_as_parents_make_no_loop() {
+    play(async {
+        let directory = Directory::new("loop");
+        let origin = Process::origin(&directory, address());
+        let (one, other) = (address(), address());
+        let first = Process::relay(2, &[other, origin.address], one);
+        let second = Process::relay(2, &[one, origin.address], other);
+        publish(origin.address, "fleet", &document(1), "1").await;
+        for relay in [&first, &second] {
+            let mut child = Follower::start("api-1", &[relay.address], &SCOPES, 1);
+            child.until_index(1).await;
+        }
+        let alone = Process::relay(1, &[one], address());
+        alone.says("its level is not below this one's").await;
+        let (status, _) = get(alone.address, "/configuration").await.unwrap();
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    });
+}
--- a/crates/distribution/tests/hosts_path.rs
+++ b/crates/distribution/tests/hosts_path.rs
@@ -5,7 +5,6 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
-use fennelhatch_distribution::host::client::LINE_MOST;
 use hosts_common::{
     Directory, Follower, Process, address, binary, change, document, get, play, publish, status_until,
 };
@@ -80,7 +79,6 @@
         assert_eq!(run(vec!["publish", "--to", &to, "services/api", "-"], "").0, Some(2));
         let nobody = address().to_string();
         assert_eq!(run(vec!["status", "--to", &nobody], "").0, Some(3));
-        assert!(LINE_MOST < 1 << 20);
         let version = Command::new(env!("CARGO_BIN_EXE_fennelhatch-distribution")).arg("--help").output();
         assert!(String::from_utf8(version.unwrap().stdout).unwrap().contains("EXIT STATUS"));
     });
--- /dev/null
+++ b/crates/distribution/tests/hosts_requests.rs
@@ -0,0 +1,255 @@
+//! Requests and readers past their bounds.
+
+mod hosts_common;
+
+use std::net::SocketAddr;
+
+use fennelhatch_distribution::report::Sums;
+use hosts_common::{
+    Directory, Follower, Process, address, big_document, change, document, get, play, publish, told, within,
+};
+use hyper::StatusCode;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// What is answered to these bytes, until the connection ends.
+async fn said_to(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    // It may end before all of it has been taken.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let _ = within("an answer", stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn watching(to: SocketAddr, query: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let request = format!("GET /configuration?follow=1&{query} HTTP/1.1\r\nhost: x\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+#[test]
+fn a_document_of_one_mebibyte() {
+    play(async {
+        let directory = Directory::new("mebibyte");
+        let origin = Process::origin(&directory, address());
+        let body = big_document(1 << 20);
+        let (status, answer) = change(origin.address, "service/api", Some(&body), "1", None).await.unwrap();
+        assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE);
+        assert!(answer["error"].as_str().unwrap().contains("262144"), "{answer}");
+        assert_eq!(get(origin.address, "/configuration").await.unwrap().1["index"], 0);
+        // One at its bound goes to a child.
+        let empty = big_document(0).len();
+        let body = big_document((256 << 10) - empty);
+        let mut child = Follower::start("api-1", &[origin.address], &["service/api"], 1);
+        assert_eq!(publish(origin.address, "service/api", &body, "2").await, 1);
+        child.until_index(1).await;
+        assert_eq!(child.body("service/api"), Some(body));
+    });
+}
+
+#[test]
+fn requests_that_make_no_sense_change_nothing() {
+    play(async {
+        let directory = Directory::new("garbage");
+        let origin = Process::origin(&directory, address());
+        let to = origin.address;
+        let put = |path: &str, more: &str, body: &[u8]| {
+            let head =
+                format!("PUT {path} HTTP/1.1\r\nhost: x\r\n{more}content-length: {}\r\n\r\n", body.len());
+            [head.as_bytes(), body].concat()
+        };
+        let id = "x-request-id: 1\r\n";
+        let document = document(1);
+        for (request, status, reason) in [
+            (put("/configuration/service/api", "", document.as_bytes()), 400, "X-Request-Id"),
+            (put("/configuration/service/", id, document.as_bytes()), 400, "is no scope"),
+            (put("/configuration/service/a%20b", id, document.as_bytes()), 400, "is no scope"),
+            (put("/configuration/service/api", &format!("{id}if-match: *\r\n"), b"{}"), 400, "If-Match"),
+            (put("/configuration/service/api", id, b"\xff\xfe"), 400, "UTF-8"),
+            (put("/configuration/service/api", id, b"{\"settings\":"), 400, "faults"),
+            (put("/configuration/service/api", id, b"[]"), 400, "faults"),
+            (put("/configuration/service/api", id, &b"[".repeat(100_000)), 400, "faults"),
+            (put("/other", id, document.as_bytes()), 404, "no such path"),
+            (put("/configuration", id, document.as_bytes()), 405, "no such method"),
+            (b"GET /configuration?since=-1 HTTP/1.1\r\nhost: x\r\n\r\n".to_vec(), 400, "since"),
+            (b"GET /configuration?scopes=some HTTP/1.1\r\nhost: x\r\n\r\n".to_vec(), 400, "scopes"),
+            (
+                format!("GET /configuration?scopes={} HTTP/1.1\r\nhost: x\r\n\r\n", ["fleet"; 9].join(","))
+                    .into(),
+                400,
+                "at most 8",
+            ),
+            (
+                b"POST /configuration/report HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}".to_vec(),
+                400,
+                "report",
+            ),
+            (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n".to_vec(), 400, ""),
+            (format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(100_000)).into(), 4, ""),
+            (format!("GET / HTTP/1.1\r\n{}\r\n", "x: y\r\n".repeat(1000)).into(), 4, ""),
+        ] {
+            let answer = said_to(to, &request).await;
+            let start = String::from_utf8_lossy(&request[..request.len().min(60)]).into_owned();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{start:?}: {answer:?}");
+            assert!(answer.contains(reason), "{start:?}: {answer:?}");
+        }
+        let whole = get(to, "/configuration").await.unwrap().1;
+        assert_eq!(whole, json!({ "index": 0, "snapshot": true, "after": 0, "documents": [] }));
+        assert_eq!(publish(to, "service/api", &document, "1").await, 1);
+    });
+}
+
+#[test]
+fn a_sender_that_is_too_slow_is_closed() {
+    play(async {
+        let directory = Directory::new("slow-sender");
+        let origin = Process::origin(&directory, address());
+        let head =
+            b"PUT /configuration/fleet HTTP/1.1\r\nhost: x\r\nx-request-id: 1\r\ncontent-length: 9\r\n\r\n{";
+        let (one, other, none) = tokio::join!(
+            said_to(origin.address, b"GET /configuration HT"),
+            said_to(origin.address, head),
+            said_to(origin.address, b""),
+        );
+        assert_eq!((one.as_str(), other.as_str(), none.as_str()), ("", "", ""));
+        assert_eq!(get(origin.address, "/configuration").await.unwrap().1["index"], 0);
+    });
+}
+
+#[test]
+fn readers_past_the_bound_are_refused() {
+    play(async {
+        let directory = Directory::new("readers");
+        let place = directory.path().to_str().unwrap();
+        let origin = Process::start(&["origin", "--dir", place, "--readers-most", "2"], address());
+        let mut readers = Vec::new();
+        for _ in 0..2 {
+            let mut reader = watching(origin.address, "since=0").await;
+            let mut text = [0; 1024];
+            assert_ne!(within("a first word", reader.read(&mut text)).await.unwrap(), 0);
+            readers.push(reader);
+        }
+        let third = get(origin.address, "/configuration?follow=1&since=0").await.unwrap();
+        assert_eq!(third, (StatusCode::SERVICE_UNAVAILABLE, json!({ "error": "too many readers" })));
+        // One goes: there is room again.
+        readers.pop();
+        let mut child = Follower::start("api-1", &[origin.address], &["fleet"], 1);
+        publish(origin.address, "fleet", &document(1), "1").await;
+        child.until_index(1).await;
+    });
+}
+
+#[test]
+fn a_reader_that_takes_nothing_is_closed_and_holds_nobody_up() {
+    play(async {
+        let directory = Directory::new("stalled");
+        let origin = Process::origin(&directory, address());
+        let big = big_document(250 << 10);
+        for number in 0..12 {
+            publish(origin.address, &format!("service/s{number}"), &big, &number.to_string()).await;
+        }
+        // It asks for all, which is more than the buffers take, and reads none of it.
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut stalled = socket.connect(origin.address).await.unwrap();
+        stalled
+            .write_all(b"GET /configuration?follow=1&since=0&name=sleepy HTTP/1.1\r\nhost: x\r\n\r\n")
+            .await
+            .unwrap();
+        let mut child = Follower::start("api-1", &[origin.address], &["service/s0"], 1);
+        child.until("the document", |state| state.documents().count() == 1).await;
+        publish(origin.address, "service/s0", &document(1), "last").await;
+        child.until_index(13).await;
+        origin.says("closed reader \"sleepy\"").await;
+        // What it gets after all breaks off.
+        let mut rest = Vec::new();
+        let _ = within("its end", stalled.read_to_end(&mut rest)).await;
+        assert!(rest.len() < 12 * big.len() && !rest.ends_with(b"\n\r\n"), "{}", rest.len());
+    });
+}
+
+#[test]
+fn a_slow_reader_is_told_the_newest_and_not_each() {
+    play(async {
+        let directory = Directory::new("merged");
+        let origin = Process::origin(&directory, address());
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut slow = socket.connect(origin.address).await.unwrap();
+        slow.write_all(b"GET /configuration?follow=1&since=0&scopes=fleet HTTP/1.1\r\nhost: x\r\n\r\n")
+            .await
+            .unwrap();
+        let changes = 40;
+        for number in 1..=changes {
+            let body = json!({ "settings": { "projects": [number, "x".repeat(100 << 10)] } }).to_string();
+            assert_eq!(publish(origin.address, "fleet", &body, &number.to_string()).await, number);
+        }
+        let mut text = String::new();
+        within("the newest", async {
+            let mut part = vec![0; 64 << 10];
+            while !text.contains(&format!("\"version\":{changes},")) || !text.ends_with('\n') {
+                let read = slow.read(&mut part).await.unwrap();
+                assert_ne!(read, 0);
+                text.push_str(std::str::from_utf8(&part[..read]).unwrap());
+            }
+        })
+        .await;
+        let told = text.matches("\"version\":").count();
+        assert!((1..20).contains(&told), "{told} of {changes}");
+    });
+}
+
+#[test]
+fn signs_of_life_come_within_the_silence_and_are_spread() {
+    play(async {
+        let directory = Directory::new("signs");
+        let origin = Process::origin(&directory, address());
+        publish(origin.address, "fleet", &document(1), "1").await;
+        let start = tokio::time::Instant::now();
+        let mut signs = Vec::new();
+        for _ in 0..20 {
+            let mut reader = watching(origin.address, "since=1").await;
+            signs.push(tokio::task::spawn_local(async move {
+                let (mut text, mut part) = (Vec::new(), [0; 512]);
+                // The first word, and then the sign.
+                while text.windows(6).filter(|part| part == b"1\r\n\n\r\n").count() < 2 {
+                    let read = reader.read(&mut part).await.unwrap();
+                    assert_ne!(read, 0);
+                    text.extend_from_slice(&part[..read]);
+                }
+                start.elapsed()
+            }));
+        }
+        let mut times = Vec::new();
+        for sign in signs {
+            times.push(within("a sign of life", sign).await.unwrap());
+        }
+        times.sort();
+        let apart = times[19] - times[0];
+        assert!(apart.as_millis() > 500, "all at one moment: {times:?}");
+    });
+}
+
+#[test]
+fn reports_of_children_and_relays_are_summed() {
+    play(async {
+        let directory = Directory::new("reports");
+        let origin = Process::origin(&directory, address());
+        let relay = Process::relay(1, &[origin.address], address());
+        publish(origin.address, "fleet", &document(1), "1").await;
+        told(relay.address, 1).await;
+        let start =
+            |number: u64, parent| Follower::start(&format!("api-{number}"), &[parent], &["fleet"], number);
+        let _children: Vec<Follower> = (0..6)
+            .map(|number| start(number, if number < 2 { origin.address } else { relay.address }))
+            .collect();
+        hosts_common::status_until(origin.address, "all six", |status| {
+            let sums: Sums = serde_json::from_value(status.clone()).unwrap();
+            sums.children == 6 && sums.holders.values().all(|holders| holders.versions[&1] == 6)
+        })
+        .await;
+    });
+}
