--- a/crates/distribution/src/host/origin.rs
+++ b/crates/distribution/src/host/origin.rs
@@ -64,7 +64,8 @@
         let first: Vec<Record> = origin.pending().to_vec();
         if !first.is_empty() {
             match store.write(&first, &[], None) {
-                Outcome::Written => first.iter().for_each(|record| origin.written(record.index)),
+                // All at once, by the last.
+                Outcome::Written => first.last().into_iter().for_each(|record| origin.written(record.index)),
                 Outcome::NotWritten(error) | Outcome::Unknown(error) => {
                     return Err(OriginError::First(error));
                 }
@@ -125,7 +126,7 @@
         let mut origin = self.origin.borrow_mut();
         match outcome {
             Outcome::Written => {
-                indexes.iter().for_each(|&index| origin.written(index));
+                indexes.last().into_iter().for_each(|&index| origin.written(index));
                 drop(origin);
                 if let Some(changed) = &*self.changed.borrow() {
                     changed();
--- a/crates/distribution/src/host/server.rs
+++ b/crates/distribution/src/host/server.rs
@@ -432,11 +432,19 @@
             if let Some(line) = self.lines.borrow().by_reader.get(&key) {
                 return (Some(line.clone()), state.index());
             }
-            let update = match state.since(at, &query.wanted) {
+            let told =
+                if due { state.tell(at, &query.wanted, stale_s) } else { state.since(at, &query.wanted) };
+            let update = match told {
                 Some(update) => Update { stale_s, ..update },
                 None if !due => return (None, at),
-                None if stale_s == 0 && query.follow => return (Some(Bytes::from_static(b"\n")), at),
-                None => Update { index: at, snapshot: false, after: at, stale_s, documents: Vec::new() },
+                None if query.follow => return (Some(Bytes::from_static(b"\n")), at),
+                None => Update {
+                    index: state.index(),
+                    snapshot: false,
+                    after: at,
+                    stale_s,
+                    documents: Vec::new(),
+                },
             };
             let index = update.index;
             let mut text = match serde_json::to_vec(&update) {
--- a/crates/distribution/tests/hosts_common/mod.rs
+++ b/crates/distribution/tests/hosts_common/mod.rs
@@ -207,12 +207,18 @@
 
 /// A document that says a number.
 pub fn document(number: u64) -> String {
-    json!({ "settings": { "overShareWorth": number } }).to_string()
+    json!({ "settings": { "prices": { "crossZone": number } } }).to_string()
 }
 
-/// A document of about so many bytes.
+/// A document with so many bytes of nothing in it.
 pub fn big_document(bytes: usize) -> String {
-    json!({ "settings": { "projects": ["x".repeat(bytes)] } }).to_string()
+    padded(1, bytes)
+}
+
+/// A document that says a number, with so many bytes of nothing in it.
+pub fn padded(number: u64, bytes: usize) -> String {
+    let document = document(number);
+    format!("{}{}}}", &document[..document.len() - 1], " ".repeat(bytes))
 }
 
 /// Publishes; it must be accepted.
--- a/crates/distribution/tests/hosts_disk.rs
+++ b/crates/distribution/tests/hosts_disk.rs
@@ -392,7 +392,7 @@
             origin = Process::origin(&directory, origin.address);
             let whole = get(origin.address, "/configuration").await.unwrap().1;
             assert_eq!(whole["index"], number);
-            assert_eq!(whole["documents"][0]["body"]["settings"]["overShareWorth"], number);
+            assert_eq!(whole["documents"][0]["body"]["settings"]["prices"]["crossZone"], number);
         }
         child.until_index(5).await;
     });
@@ -434,7 +434,7 @@
         assert_eq!(status, StatusCode::CONFLICT, "{answer}");
         let whole = get(origin.address, "/configuration").await.unwrap().1;
         assert_eq!(whole["index"], 2);
-        assert_eq!(whole["documents"][0]["body"], json!({ "settings": { "overShareWorth": 2 } }));
+        assert_eq!(whole["documents"][0]["body"], json!({ "settings": { "prices": { "crossZone": 2 } } }));
     });
 }
 
--- a/crates/distribution/tests/hosts_requests.rs
+++ b/crates/distribution/tests/hosts_requests.rs
@@ -6,7 +6,8 @@
 
 use fennelhatch_distribution::report::Sums;
 use hosts_common::{
-    Directory, Follower, Process, address, big_document, change, document, get, play, publish, told, within,
+    Directory, Follower, Process, address, big_document, change, document, get, padded, play, publish, told,
+    within,
 };
 use hyper::StatusCode;
 use serde_json::json;
@@ -71,6 +72,11 @@
             (put("/configuration/service/api", id, b"\xff\xfe"), 400, "UTF-8"),
             (put("/configuration/service/api", id, b"{\"settings\":"), 400, "faults"),
             (put("/configuration/service/api", id, b"[]"), 400, "faults"),
+            (
+                put("/configuration/service/api", id, b"{\"settings\":{\"rules\":{\"coldS\":-1}}}"),
+                400,
+                "settings.rules.coldS",
+            ),
             (put("/configuration/service/api", id, &b"[".repeat(100_000)), 400, "faults"),
             (put("/other", id, document.as_bytes()), 404, "no such path"),
             (put("/configuration", id, document.as_bytes()), 405, "no such method"),
@@ -184,7 +190,7 @@
             .unwrap();
         let changes = 40;
         for number in 1..=changes {
-            let body = json!({ "settings": { "projects": [number, "x".repeat(100 << 10)] } }).to_string();
+            let body = padded(number, 100 << 10);
             assert_eq!(publish(origin.address, "fleet", &body, &number.to_string()).await, number);
         }
         let mut text = String::new();
