Balancer: follow, check and apply changes of the settings while it serves

Need: a change of settings came into force by a restart alone; SIGHUP moves discovery and nothing else. Change: configuration.rs follows the parents that the configuration file names, merges the documents over the file's own settings, checks the whole and applies it whole or not at all; classes and tenants keep their positions by name. Off where no parents are named. Discovery uses the same client of watches.

--- a/dahliahead/src/config.rs
+++ b/dahliahead/src/config.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use fennelhatch_distribution::document::{Scope, ScopeError};
 use peathatch_wirehost::setup::{self, Loaded, SetupError};
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
 use thiserror::Error;
 
@@ -32,6 +34,9 @@
     /// The settings in it cannot be used.
     #[error("the settings are malformed: {0}")]
     Setup(#[from] SetupError),
+    /// The region or the service is no name of a scope.
+    #[error("distribution: {0}")]
+    Scope(#[from] ScopeError),
     /// A value makes no sense.
     #[error("{name} makes no sense: {value:?}")]
     Value {
@@ -53,9 +58,18 @@
     #[serde(default)]
     limits: Limits,
     known: Option<Update>,
+    distribution: Option<Tree>,
     settings: Box<RawValue>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Tree {
+    parents: Vec<String>,
+    region: String,
+    service: String,
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -68,6 +82,17 @@
     }
 }
 
+/// Where changes of the settings come from.
+#[derive(Debug)]
+pub struct Distribution {
+    /// Whom this balancer may follow.
+    pub parents: Vec<SocketAddr>,
+    /// Whose documents it wants, the narrower last: fleet, region, service.
+    pub wanted: [Scope; 3],
+    /// The settings object of the file, over which the documents go.
+    pub own_settings: Value,
+}
+
 /// The configuration of one balancer.
 #[derive(Debug)]
 pub struct Config {
@@ -85,6 +110,8 @@
     pub known: Option<Update>,
     /// The settings object.
     pub loaded: Loaded,
+    /// Where changes of it come from, if from anywhere.
+    pub distribution: Option<Distribution>,
     /// The file it was read from, which a reload reads again.
     pub path: Option<PathBuf>,
 }
@@ -118,11 +145,15 @@
         let loaded = setup::read(file.settings.get())?;
         let listen = variable("PROXY_LISTEN").or(file.listen);
         let discovery = variable("PROXY_DISCOVERY").or(file.discovery);
+        let name = variable("PROXY_NAME").unwrap_or(file.name);
+        if file.distribution.is_some() && name.is_empty() {
+            return Err(wrong("name", &name));
+        }
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(wrong("limits.sockets", &file.limits.sockets.to_string()));
         }
         Ok(Self {
-            name: variable("PROXY_NAME").unwrap_or(file.name),
+            name,
             listen: address("listen", listen)?,
             discovery: address("discovery", discovery)?,
             seed: if file.seed.is_empty() {
@@ -132,6 +163,10 @@
             },
             sockets: file.limits.sockets,
             known: file.known,
+            distribution: file
+                .distribution
+                .map(|tree| distribution(&tree, file.settings.get()))
+                .transpose()?,
             loaded,
             path: None,
         })
@@ -141,6 +176,22 @@
 /// Fewer descriptors than this leave no room to serve anybody.
 const LEAST_SOCKETS: usize = 48;
 
+/// Parents at most: a balancer follows one at a time.
+const PARENTS_MOST: usize = 16;
+
+fn distribution(tree: &Tree, settings: &str) -> Result<Distribution, ConfigError> {
+    if !(1..=PARENTS_MOST).contains(&tree.parents.len()) {
+        return Err(wrong("distribution.parents", &format!("{} addresses", tree.parents.len())));
+    }
+    let parent = |text: &String| text.parse().map_err(|_| wrong("distribution.parents", text));
+    let named = |kind: &str, name: &str| format!("{kind}/{name}").parse::<Scope>();
+    Ok(Distribution {
+        parents: tree.parents.iter().map(parent).collect::<Result<_, _>>()?,
+        wanted: [Scope::Fleet, named("region", &tree.region)?, named("service", &tree.service)?],
+        own_settings: serde_json::from_str(settings)?,
+    })
+}
+
 fn text(path: &Path) -> Result<String, ConfigError> {
     fs::read_to_string(path).map_err(|cause| ConfigError::Read { path: path.to_owned(), cause })
 }
--- a/dahliahead/src/connection.rs
+++ b/dahliahead/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -62,14 +63,21 @@
     }
 }
 
+/// Connects to where a watch is had.
+///
+/// # Errors
+/// It does not come up.
+pub async fn open(address: SocketAddr, permit: Permit) -> io::Result<Counted> {
+    Ok(Counted::new(TcpStream::connect(address).await?, permit))
+}
+
 /// Makes a connection of a socket that has come up.
 ///
 /// # Errors
 /// It breaks as it comes up.
 pub async fn speak(stream: TcpStream, permit: Permit) -> Result<Connection, hyper::Error> {
-    let socket = Socket::new(stream);
-    let written = Rc::new(Cell::new(0));
-    let io = Counted { socket: socket.clone(), written: Rc::clone(&written), _permit: permit };
+    let io = Counted::new(stream, permit);
+    let (socket, written) = (io.socket.clone(), Rc::clone(&io.written));
     let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
     let task = tokio::task::spawn_local(async move {
         // How it ends shows in the request that is out on it, if one is.
@@ -79,13 +87,18 @@
 }
 
 /// A socket that counts the bytes it has taken: what was never written whole never ran.
-struct Counted {
+#[derive(Debug)]
+pub struct Counted {
     socket: Socket,
     written: Rc<Cell<u64>>,
     _permit: Permit,
 }
 
 impl Counted {
+    fn new(stream: TcpStream, permit: Permit) -> Self {
+        Self { socket: Socket::new(stream), written: Rc::default(), _permit: permit }
+    }
+
     fn count(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let bytes = ready!(done)?;
         self.written.set(self.written.get() + bytes as u64);
--- a/dahliahead/src/discovery.rs
+++ b/dahliahead/src/discovery.rs
@@ -1,20 +1,18 @@
 //! The list of upstreams: its form and the watch on its changes.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, StatusCode, header};
+use fennelhatch_distribution::host::watch::{self, Ask, WatchError};
 use peathatch::interface::DiscoveryMode;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
-use crate::connection::speak;
+use crate::connection;
 use crate::driver::Driver;
 
 /// A word from discovery: the whole list or what changed.
@@ -109,23 +107,17 @@
 const LINE_MOST: usize = 8 << 20;
 
 #[derive(Debug, Error)]
-enum WatchError {
+enum BrokenError {
     #[error("no connection")]
     Connect,
-    #[error("silent for too long")]
-    Silent,
-    #[error("answered {0}")]
-    Status(StatusCode),
     #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("ended")]
-    Ended,
-    #[error("a line is too long")]
-    LongLine,
-    #[error("a line is malformed: {0}")]
-    Json(#[from] serde_json::Error),
+    Watch(#[from] WatchError<LineError>),
 }
 
+#[derive(Debug, Error)]
+#[error("a line is malformed: {0}")]
+struct LineError(#[from] serde_json::Error);
+
 /// Watches the list from `since` on until the watch ends, then tells the driver so.
 pub async fn watch(driver: Rc<Driver>, address: SocketAddr, patience: Patience, since: u64, number: u64) {
     let Err(error) = follow(&driver, address, patience, since).await;
@@ -137,48 +129,29 @@
     address: SocketAddr,
     Patience(first_word): Patience,
     since: u64,
-) -> Result<std::convert::Infallible, WatchError> {
-    let mut by = Instant::now() + first_word;
+) -> Result<Infallible, BrokenError> {
+    let first_by = Instant::now() + first_word;
     let permit = driver.pool().reserved_permit();
-    let Ok(Ok(stream)) = timeout_at(by, TcpStream::connect(address)).await else {
-        return Err(WatchError::Connect);
+    let Ok(Ok(stream)) = timeout_at(first_by, connection::open(address, permit)).await else {
+        return Err(BrokenError::Connect);
+    };
+    let ask = Ask {
+        host: address.to_string(),
+        path: format!("/catalog/members?follow=1&since={since}"),
+        first_by,
+        silence: SILENCE,
+        line_most: LINE_MOST,
     };
-    let mut conn = speak(stream, permit).await?;
-    let request = Request::get(format!("/catalog/members?follow=1&since={since}"))
-        .header(header::HOST, address.to_string())
-        .body(Full::<Bytes>::default())
-        .unwrap_or_default();
-    let response =
-        timeout_at(by, conn.sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
-    if response.status() != StatusCode::OK {
-        return Err(WatchError::Status(response.status()));
-    }
-    let mut body = response.into_body();
-    let mut text: Vec<u8> = Vec::new();
     let mut heard = false;
-    loop {
-        let frame = timeout_at(by, body.frame()).await.map_err(|_| WatchError::Silent)?;
-        let Ok(data) = frame.ok_or(WatchError::Ended)??.into_data() else { continue };
-        // A chunk may hold several lines, or a part of one.
-        let mut rest = &data[..];
-        while let Some(end) = rest.iter().position(|&byte| byte == b'\n') {
-            text.extend_from_slice(&rest[..end]);
-            rest = &rest[end + 1..];
-            let line = text.trim_ascii();
-            if !line.is_empty() {
-                driver.learn(serde_json::from_slice(line)?);
-            } else if !heard {
-                // Nothing has changed since; the watch stands all the same.
-                driver.learn(Update { index: since, snapshot: false, endpoints: Vec::new() });
-            }
-            heard = true;
-            // Only a whole line is a sign of life.
-            by = Instant::now() + SILENCE;
-            text.clear();
+    let line = |line: &[u8]| {
+        if !line.is_empty() {
+            driver.learn(serde_json::from_slice(line)?);
+        } else if !heard {
+            // Nothing has changed since; the watch stands all the same.
+            driver.learn(Update { index: since, snapshot: false, endpoints: Vec::new() });
         }
-        text.extend_from_slice(rest);
-        if text.len() > LINE_MOST {
-            return Err(WatchError::LongLine);
-        }
-    }
+        heard = true;
+        Ok(())
+    };
+    Ok(watch::follow(stream, ask, line).await?)
 }
--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -9,17 +9,18 @@
 
 use bytes::Bytes;
 use peathatch::interface::{
-    AttemptNumber, Class, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase, Request,
-    RequestId, SettingsError, TenantId, Time, UpstreamId, ZoneId,
+    AttemptNumber, ClassId, DiscoveryMode, KindId, ListUpdate, Member, Outcome, Phase, Request, RequestId,
+    SettingsError, TenantId, Time, UpstreamId, ZoneId,
 };
-use peathatch::{Action, Balancer, Event};
-use peathatch_wirehost::setup::Names;
+use peathatch::{Action, Balancer, Event, Settings};
+use peathatch_wirehost::setup::{Loaded, Names};
 use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
 use crate::config::Config;
+use crate::configuration::{self, Offered};
 use crate::counters::{self, Counters};
 use crate::discovery::{self, Endpoint, Patience, TOLD_AFTER, Update};
 use crate::pool::{AcquireError, Host, Pool};
@@ -29,8 +30,12 @@
 /// time on that clock too. One that started earlier still has been warm for long.
 const CLOCK_LEAD: Duration = Duration::from_secs(3600);
 /// How long a new process waits for discovery's first word before it says that it can serve: the agent on its own
-/// machine answers at once unless discovery is down, and then the list of the configuration is the best there is.
+/// machine answers at once unless discovery is down, and then the list of the configuration is the best there is. It
+/// waits as long for the first word on its settings, where they are distributed: then those of its file have to do.
 const TOLD_WITHIN: Duration = Duration::from_millis(500);
+/// How often kept connections are looked at, at the most.
+const LOOK_LEAST: Duration = Duration::from_millis(10);
+
 /// The final answer to a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -110,8 +115,13 @@
 /// The state of a running balancer.
 pub struct Driver {
     core: RefCell<Core>,
+    /// Those of the start: zones, kinds and the fields of a load report stay for life.
     names: Names,
-    classes: Vec<Class>,
+    offered: RefCell<Rc<Offered>>,
+    /// The longest time that a client waits, under any settings since the start.
+    longest: Cell<Duration>,
+    /// The settings in force are those that are distributed, as far as has been told.
+    configured: Cell<bool>,
     zero: Instant,
     /// Unix time in milliseconds at the zero of the module's clock.
     zero_ms: u64,
@@ -128,17 +138,10 @@
     pub fn start(config: Config) -> Result<Rc<Self>, SettingsError> {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mut loaded = config.loaded;
-        // 'Automatic' speaks of the simulator: here a change comes only over a watch, which the decisions keep. It
-        // means that lists are pushed to an agent on this machine.
-        if loaded.settings.discovery == DiscoveryMode::Push {
-            loaded.settings.discovery = DiscoveryMode::Agent;
-        }
-        // Where lists are asked for, the settings may allow to ask more seldom than changes count as told.
-        let ask_within = &mut loaded.settings.rules.ask_within;
-        *ask_within = Some(ask_within.unwrap_or(TOLD_AFTER).min(TOLD_AFTER));
+        fit_to_sockets(&mut loaded.settings);
         let patience = Patience::of(loaded.settings.discovery);
         let keepalive = loaded.settings.allowed.keepalive;
-        let classes = loaded.settings.classes.clone();
+        let offered = Offered::new(&loaded.names, &loaded.settings);
         let core = Core {
             balancer: Balancer::new(loaded.settings, config.seed)?,
             events: VecDeque::new(),
@@ -157,7 +160,9 @@
         let driver = Rc::new_cyclic(|driver: &Weak<Self>| Self {
             core: RefCell::new(core),
             names: loaded.names,
-            classes,
+            longest: Cell::new(offered.longest()),
+            offered: RefCell::new(Rc::new(offered)),
+            configured: Cell::new(config.distribution.is_none()),
             zero: Instant::now(),
             zero_ms: unix.saturating_sub(CLOCK_LEAD).as_millis() as u64,
             discovery: Cell::new(config.discovery),
@@ -180,7 +185,7 @@
         let sweeper = Rc::clone(&driver);
         spawn_local(async move {
             loop {
-                sleep(sweeper.pool.keep_for() / 8).await;
+                sleep((sweeper.pool.keep_for() / 8).max(LOOK_LEAST)).await;
                 sweeper.pool.close_old();
             }
         });
@@ -191,13 +196,50 @@
                 teller.tell();
             }
         });
+        if let Some(distribution) = config.distribution {
+            configuration::follow(&driver, &config.name, config.seed, distribution);
+        }
         Ok(driver)
     }
 
-    /// The names in the settings.
+    /// Goes over to other settings, whole or not at all. Requests that were taken keep the rules that they were taken
+    /// under, attempts and connections go on.
+    ///
+    /// # Errors
+    /// The settings are no successor of those before; nothing has changed.
+    pub fn reconfigure(self: &Rc<Self>, loaded: Loaded) -> Result<(), String> {
+        let Loaded { mut settings, names, connect_timeout } = loaded;
+        fit_to_sockets(&mut settings);
+        let offered = self.offered().followed_by(&names, &mut settings)?;
+        settings.validate().map_err(|error| error.to_string())?;
+        self.pool.reconfigure(connect_timeout, settings.allowed.keepalive);
+        self.longest.set(self.longest.get().max(offered.longest()));
+        self.offered.replace(Rc::new(offered));
+        self.handle(Event::Reconfigured(settings));
+        Ok(())
+    }
+
+    /// The distribution of settings has spoken, and what it said has been taken in.
+    pub fn configured(&self) {
+        self.configured.set(true);
+    }
+
+    /// Whether a load report may have a value of this name.
     #[must_use]
-    pub fn names(&self) -> &Names {
-        &self.names
+    pub fn has_load_field(&self, name: &str) -> bool {
+        self.names.load_fields.iter().any(|field| field == name)
+    }
+
+    /// What callers may ask for.
+    #[must_use]
+    pub fn offered(&self) -> Rc<Offered> {
+        Rc::clone(&self.offered.borrow())
+    }
+
+    /// The longest time that a client waits, under any settings since the start.
+    #[must_use]
+    pub fn longest(&self) -> Duration {
+        self.longest.get()
     }
 
     /// The connections to upstreams.
@@ -211,13 +253,7 @@
     #[must_use]
     pub fn can_serve(&self) -> bool {
         let core = self.core.borrow();
-        core.has_list && (core.told || self.zero.elapsed() >= TOLD_WITHIN)
-    }
-
-    /// How a class's requests may be repeated and how long its clients wait.
-    #[must_use]
-    pub fn class(&self, class: ClassId) -> Option<&Class> {
-        self.classes.get(class.0)
+        core.has_list && (core.told && self.configured.get() || self.zero.elapsed() >= TOLD_WITHIN)
     }
 
     /// Writes what happened since the last time, and how things stand.
@@ -573,6 +609,18 @@
     }
 }
 
+/// Fits the settings to real sockets.
+fn fit_to_sockets(settings: &mut Settings) {
+    // 'Automatic' speaks of the simulator: here a change comes only over a watch, which the decisions keep. It means
+    // that lists are pushed to an agent on this machine.
+    if settings.discovery == DiscoveryMode::Push {
+        settings.discovery = DiscoveryMode::Agent;
+    }
+    // Where lists are asked for, the settings may allow to ask more seldom than changes count as told.
+    let ask_within = &mut settings.rules.ask_within;
+    *ask_within = Some(ask_within.unwrap_or(TOLD_AFTER).min(TOLD_AFTER));
+}
+
 impl Core {
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(held) = self.requests.get_mut(&id) else { return };
--- a/dahliahead/src/lib.rs
+++ b/dahliahead/src/lib.rs
@@ -5,6 +5,7 @@
 //! borrowed across an await.
 
 pub mod config;
+pub mod configuration;
 pub mod connection;
 pub mod counters;
 pub mod discovery;
--- a/dahliahead/src/pool.rs
+++ b/dahliahead/src/pool.rs
@@ -203,8 +203,8 @@
     hosts: RefCell<FxHashMap<UpstreamId, Rc<Host>>>,
     /// By zone: where upstreams stand decides how long a connect takes.
     connect_times: RefCell<FxHashMap<Option<ZoneId>, ConnectTime>>,
-    connect_timeout: Duration,
-    keep: Duration,
+    connect_timeout: Cell<Duration>,
+    keep: Cell<Duration>,
     trust: RefCell<Trust>,
     sockets: Rc<Cell<usize>>,
     sockets_most: usize,
@@ -230,8 +230,8 @@
         Rc::new(Self {
             hosts: RefCell::default(),
             connect_times: RefCell::default(),
-            connect_timeout,
-            keep,
+            connect_timeout: Cell::new(connect_timeout),
+            keep: Cell::new(keep),
             trust: RefCell::new(Trust::new(keep)),
             sockets: Rc::default(),
             sockets_most: descriptors.saturating_sub(OTHER_DESCRIPTORS),
@@ -242,7 +242,14 @@
     /// How long a connection may stand idle before it is closed.
     #[must_use]
     pub fn keep_for(&self) -> Duration {
-        self.keep
+        self.keep.get()
+    }
+
+    /// Goes by other settings from now on. What connects now waits as long as it was to.
+    pub fn reconfigure(&self, connect_timeout: Duration, keepalive: Duration) {
+        self.connect_timeout.set(connect_timeout);
+        self.keep.set(keepalive.mul_f64(KEEP_PART));
+        self.trust.borrow_mut().keep_for(self.keep.get());
     }
 
     // --- Sockets ---
@@ -339,7 +346,7 @@
     /// Closes what has stood idle for too long, or was closed by its upstream.
     pub fn close_old(&self) {
         for host in self.hosts.borrow().values() {
-            let keep = |idle: &Idle| idle.connection.is_free() && idle.since.elapsed() < self.keep;
+            let keep = |idle: &Idle| idle.connection.is_free() && idle.since.elapsed() < self.keep.get();
             host.idle.borrow_mut().retain(keep);
         }
     }
@@ -370,7 +377,7 @@
             return Ok((connection, Some(idle)));
         }
         let since = Instant::now();
-        let patience = if last { self.connect_timeout } else { self.patience(host) };
+        let patience = if last { self.connect_timeout.get() } else { self.patience(host) };
         let mut dial = Dial::start(self, host, self.permit().ok_or(AcquireError::NoSocket)?);
         loop {
             // One that rests is free sooner than a connection elsewhere may be up.
@@ -397,7 +404,8 @@
 
     fn patience(&self, host: &Host) -> Duration {
         let times = self.connect_times.borrow();
-        times.get(&host.zone).map_or(self.connect_timeout, |time| time.patience(self.connect_timeout))
+        let most = self.connect_timeout.get();
+        times.get(&host.zone).map_or(most, |time| time.patience(most))
     }
 
     fn learn_connect(&self, host: &Host, took: Duration, up: bool) {
@@ -407,13 +415,13 @@
     /// A free connection, the most recently used first, and for how long it stood idle. For a request that must run
     /// `once` at most those idle for longer than is trusted are closed: the new one that it gets takes their place.
     fn take_idle(&self, host: &Host, once: bool) -> Option<(Connection, Duration)> {
-        let most = if once { self.trust.borrow().trusted() } else { self.keep };
+        let most = if once { self.trust.borrow().trusted() } else { self.keep.get() };
         let now = Instant::now();
         let mut kept = host.idle.borrow_mut();
         while let Some(place) = kept.iter().rposition(|idle| idle.free_at <= now) {
             let last = kept.remove(place);
             let idle = last.since.elapsed();
-            if last.connection.is_free() && idle < self.keep {
+            if last.connection.is_free() && idle < self.keep.get() {
                 return (idle <= most).then_some((last.connection, idle));
             }
         }
@@ -441,7 +449,7 @@
         if host.gone.get() || host.late.borrow().is_some() || self.crowded() {
             return;
         }
-        let by = connecting.since + LATE_MOST.max(self.connect_timeout);
+        let by = connecting.since + LATE_MOST.max(self.connect_timeout.get());
         host.late.replace(Some(Late { connecting, task: None }));
         let (pool, own) = (Rc::clone(self), Rc::clone(host));
         let task = spawn_local(async move {
--- a/dahliahead/src/server.rs
+++ b/dahliahead/src/server.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -28,6 +29,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::config::Config;
+use crate::configuration::Offered;
 use crate::driver::{Answer, Driver, Taken};
 use crate::socket::Socket;
 use crate::upstream::{BODY_MOST, Call};
@@ -207,9 +209,10 @@
     config: Config,
     stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let longest = config.loaded.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let path = config.path.clone();
     let driver = Driver::start(config).map_err(io::Error::other)?;
+    // The platform goes by the settings of the start.
+    let longest = driver.longest();
     if let Some(path) = path {
         spawn_local(reload(Rc::clone(&driver), path, signal(SignalKind::hangup())?));
     }
@@ -234,7 +237,7 @@
     // Connections that carried a request end with its answer, and one that has not yet may have it in the socket
     // until its own time is over; a caller that never takes its answer must not hold up the end.
     let mut quiet = Instant::now();
-    while quiet.elapsed() < DRAIN_QUIET && stopped.elapsed() < longest + DRAIN_OPEN {
+    while quiet.elapsed() < DRAIN_QUIET && stopped.elapsed() < callers.driver.longest() + DRAIN_OPEN {
         accept_until(&listener, &callers, sleep(DRAIN_LOOK)).await;
         if !callers.links.borrow().is_empty() {
             quiet = Instant::now();
@@ -493,32 +496,51 @@
     value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
 }
 
+/// What the head of a request asks for.
+struct Asked {
+    class: ClassId,
+    tenant: Option<TenantId>,
+    /// How long its client waits.
+    time: Duration,
+    /// It must not run twice.
+    once: bool,
+}
+
+impl Asked {
+    fn read(head: &Parts, offered: &Offered) -> Result<Self, BadRequest> {
+        let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+        let (class, figures) = offered.class(class).ok_or(BadRequest::Class)?;
+        match figures.effect {
+            Effect::Safe if head.method != Method::GET => return Err(BadRequest::Method),
+            Effect::Keyed { .. } if !head.headers.contains_key("idempotency-key") => {
+                return Err(BadRequest::Key);
+            }
+            Effect::Keyed { .. } | Effect::Unsafe if head.method != Method::POST => {
+                return Err(BadRequest::Method);
+            }
+            _ => {}
+        }
+        let tenant = match text(&head.headers, "x-tenant") {
+            Some(name) => Some(offered.tenant(name).ok_or(BadRequest::Tenant)?),
+            None if offered.has_no_tenants() => None,
+            None => return Err(BadRequest::Tenant),
+        };
+        // A caller that does not say how long it waits is held to wait as long as its class allows.
+        let time = match head.headers.get("x-deadline") {
+            Some(value) => value.to_str().ok().and_then(seconds).ok_or(BadRequest::Deadline)?,
+            None => figures.deadline,
+        };
+        let once = figures.effect == Effect::Unsafe;
+        Ok(Self { class, tenant, time: time.min(figures.deadline * 10), once })
+    }
+}
+
 /// Reads a request to its last byte, which must come by then.
 async fn read(driver: &Driver, request: Request<Incoming>, whole_by: Instant) -> Result<Taken, BadRequest> {
     let (head, body) = request.into_parts();
-    let names = driver.names();
-    let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = ClassId(*names.classes.get(class).ok_or(BadRequest::Class)?);
-    let figures = driver.class(class).ok_or(BadRequest::Class)?;
+    let offered = driver.offered();
+    let mut asked = Asked::read(&head, &offered)?;
     let key = head.headers.get("idempotency-key").cloned();
-    match figures.effect {
-        Effect::Safe if head.method != Method::GET => return Err(BadRequest::Method),
-        Effect::Keyed { .. } if key.is_none() => return Err(BadRequest::Key),
-        Effect::Keyed { .. } | Effect::Unsafe if head.method != Method::POST => {
-            return Err(BadRequest::Method);
-        }
-        _ => {}
-    }
-    let tenant = match text(&head.headers, "x-tenant") {
-        Some(name) => Some(TenantId(*names.tenants.get(name).ok_or(BadRequest::Tenant)?)),
-        None if names.tenants.is_empty() => None,
-        None => return Err(BadRequest::Tenant),
-    };
-    // A caller that does not say how long it waits is held to wait as long as its class allows.
-    let time = match head.headers.get("x-deadline") {
-        Some(value) => value.to_str().ok().and_then(seconds).ok_or(BadRequest::Deadline)?,
-        None => figures.deadline,
-    };
     let id = head.headers.get("x-request-id").cloned().ok_or(BadRequest::Id)?;
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(BadRequest::TooLarge);
@@ -529,6 +551,12 @@
         Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(BadRequest::TooLarge),
         Ok(Err(_)) => return Err(BadRequest::Body),
     };
+    // While the rest of it came the settings may have changed, and it is taken under those in force now.
+    let latest = driver.offered();
+    if !Rc::ptr_eq(&offered, &latest) {
+        asked = Asked::read(&head, &latest)?;
+    }
+    let Asked { class, tenant, time, once } = asked;
     let now = Instant::now();
     let cost = text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
     Ok(Taken {
@@ -537,7 +565,7 @@
         key: subject(head.uri.query()),
         expected_work: cost.map(Duration::from_micros),
         repeat: text(&head.headers, "x-retry") == Some("1"),
-        deadline: now + time.min(figures.deadline * 10).saturating_sub(MARGIN),
+        deadline: now + time.saturating_sub(MARGIN),
         call: Rc::new(Call {
             method: head.method,
             host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
@@ -545,7 +573,7 @@
             id,
             key,
             body,
-            once: figures.effect == Effect::Unsafe,
+            once,
         }),
     })
 }
--- a/dahliahead/src/trust.rs
+++ b/dahliahead/src/trust.rs
@@ -28,6 +28,12 @@
         Self { most, trusted: most, answers: 0 }
     }
 
+    /// Connections are kept for another time from now on: what was distrusted stays so.
+    pub fn keep_for(&mut self, most: Duration) {
+        self.trusted = if self.trusted == self.most { most } else { self.trusted.min(most) };
+        self.most = most;
+    }
+
     /// The longest idle time after which a connection may carry a request that must not run twice.
     #[must_use]
     pub fn trusted(&self) -> Duration {
--- a/dahliahead/src/upstream.rs
+++ b/dahliahead/src/upstream.rs
@@ -280,7 +280,7 @@
         let (name, value) = part.split_once('=')?;
         let name = name.trim();
         let value: f64 = value.trim().parse().ok().filter(|value: &f64| value.is_finite())?;
-        if driver.names().load_fields.iter().any(|field| field == name) {
+        if driver.has_load_field(name) {
             setup::set_load_field(&mut report, name, value);
         }
     }
--- a/wirehost/src/check.rs
+++ b/wirehost/src/check.rs
@@ -229,9 +229,7 @@
             Number(least, most) => value.as_f64().is_some_and(|number| (least..=most).contains(&number)),
             Word(words) => value.as_str().is_some_and(|word| words.contains(&word)),
             Text => value.as_str().is_some_and(|text| !text.is_empty()),
-            Texts => {
-                value.as_array().is_some_and(|texts| texts.iter().all(Value::is_string))
-            }
+            Texts => value.as_array().is_some_and(|texts| texts.iter().all(Value::is_string)),
             Object(fields) => {
                 if let Some(object) = self.object(path, value) {
                     self.fields(path, object, fields, self.part);
@@ -266,7 +264,11 @@
             self.lane(&path, object);
             if self.part && object.get("quotaPerS").and_then(Value::as_f64) == Some(0.0) {
                 // It would be taken for none at all, which lifts the limit.
-                self.fault(&format!("{path}.quotaPerS"), "a number above 0, or null for no quota", object.get("quotaPerS"));
+                self.fault(
+                    &format!("{path}.quotaPerS"),
+                    "a number above 0, or null for no quota",
+                    object.get("quotaPerS"),
+                );
             }
         }
     }
