--- a/src/decide.rs
+++ b/src/decide.rs
@@ -189,11 +189,6 @@
         (buckets as f64 * self.bucket_s).max(1.0)
     }
 
-    /// Whether its last second is not over yet, so that the rate of what it lets in is not known.
-    fn is_new(&self) -> bool {
-        self.first.is_none_or(|first| self.current < first + LAST_SECOND)
-    }
-
     /// Whether a call fits under the soft limit; of a part of a call, that part of them. A limit of less than
     /// a call a window let a whole one through each, several times the limits over many copies. The die is
     /// cast once a window and admission: cast for each call, denied ones that come again would wear it down.
@@ -310,8 +305,7 @@
     1.0 + (copies.ln().max(1.0) - 1.0) * fair / (fair + NOTICE)
 }
 
-/// The limits with which a copy begins: of each tenant and, last, of all together, at first their fair parts, in a crowd
-/// less.
+/// With what limits a copy begins: of each tenant and, last, of all together, their fair parts until a crowd is met.
 fn limits(settings: &Settings) -> Vec<LearnedLimit> {
     let quotas = settings.tenants.iter().map(|tenant| tenant.quota);
     let mut limits: Vec<_> = quotas.clone().map(|quota| LearnedLimit::new(settings, quota)).collect();
@@ -755,9 +749,7 @@
         if whole {
             self.upstreams.iter_mut().for_each(|upstream| upstream.member.phase = Phase::Gone);
         }
-        for member in members {
-            self.learn_member(now, member);
-        }
+        members.into_iter().for_each(|member| self.learn_member(now, member));
         self.rebuild();
     }
 
@@ -919,9 +911,7 @@
             for _ in 0..2 {
                 let Some(slot) = self.draw(now, id, from) else { continue };
                 let cost = |slot: usize| self.upstreams[slot].cost(now, &self.settings);
-                if best.is_none_or(|best| cost(slot) < cost(best)) {
-                    best = Some(slot);
-                }
+                best = best.filter(|&best| cost(best) <= cost(slot)).or(Some(slot));
             }
             if best.is_none_or(|best| f64::from(self.upstreams[best].cost(now, &self.settings)) <= average) {
                 break;
@@ -1097,9 +1087,8 @@
         let given_up = matches!(outcome, Outcome::TimedOut | Outcome::Withdrawn);
         let unreached = matches!(outcome, Outcome::ConnectFailed | Outcome::ConnectTimedOut);
         let broken = unreached || outcome == Outcome::Reset;
-        if broken || (given_up && self.settings.allowed.streams == 1) {
-            upstream.connections = upstream.connections.saturating_sub(1);
-        }
+        let lost = broken || (given_up && self.settings.allowed.streams == 1);
+        upstream.connections = upstream.connections.saturating_sub(u32::from(lost));
         let heard = !unreached && !given_up && outcome != Outcome::NotSent;
         if heard {
             upstream.heard = now;
@@ -1121,15 +1110,13 @@
             if matches!(outcome, Outcome::Good | Outcome::Error) { took } else { took.max(aim) } / aim;
         group.delay += DELAY_WEIGHT * (delay - group.delay);
         // No work is told by a late connection, nor by a time-out before which it left less than the usual time.
-        if outcome == Outcome::ConnectTimedOut {
-            if upstream.late_connects.is_multiple_of(LATE_IN_A_ROW) {
+        let late = outcome == Outcome::ConnectTimedOut;
+        if late || outcome == Outcome::TimedOut && served < usual {
+            if late && upstream.late_connects.is_multiple_of(LATE_IN_A_ROW) {
                 self.set_aside(now, slot, true);
             }
             return;
         }
-        if outcome == Outcome::TimedOut && served < usual {
-            return;
-        }
         let failed = !matches!(outcome, Outcome::Good | Outcome::Refused);
         upstream.failures += FAIL_WEIGHT * (f64::from(u8::from(failed)) - upstream.failures);
         // A failed connect is that upstream's own: behind a broken link, counting it for the tier would make
@@ -1194,7 +1181,9 @@
         let fresh = if arrived < self.drops.0 { BEFORE_DROP } else { 1.0 };
         // Without quotas a limit is cut to what was let in, and what is usual is learned from what came first: before a
         // second is over neither is known.
-        let new = self.limits[tenant].quota.is_none() && self.suppressors[tenant].is_new();
+        let Suppressor { first, current, .. } = self.suppressors[tenant];
+        let new =
+            self.limits[tenant].quota.is_none() && first.is_none_or(|first| current < first + LAST_SECOND);
         let weight = if new { 0.0 } else { (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh };
         let off = sample - self.crowding.0;
         self.crowding.1 += weight * (off * off - self.crowding.1);
