Scale: hollow balancers on real sockets behind real control processes

Need: time until a change is in force at the last of 1,900 balancers, with faults, and what control costs. Change: 'scale sockets' plays the balancer's own client of the list (with its decisions) and the real client of the configuration, many to a process, behind the plan's 19 control processes; edges between these go through forwarders that count and can be cut. rustix (already in the lock): a clock that all processes share, and a thread's processor time; tokio's signals: SIGTERM and SIGINT end a run in order, so that no process is left.

--- /dev/null
+++ b/crates/scale/src/sockets/child.rs
@@ -0,0 +1,111 @@
+//! Processes that the rig starts: each has its commands on standard input, ends with it, and is ended with its guard.
+
+use std::io::{BufRead, BufReader, Write};
+use std::process::{self, ChildStdin, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::thread;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::ScaleError;
+
+/// The number of a process and a line of its output, `None` at its end.
+pub type Said = (usize, Option<String>);
+
+static ASKED: AtomicBool = AtomicBool::new(false);
+
+/// Has SIGTERM and SIGINT end the run in order from now on, so that the guards of its processes still work.
+///
+/// # Errors
+/// There is no runtime for it.
+pub fn heed_signals() -> Result<(), ScaleError> {
+    let wrong = |cause| ScaleError::run("signals", cause);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(wrong)?;
+    let (mut terminate, mut interrupt) = {
+        let _within = runtime.enter();
+        let ask = |kind| signal(kind).map_err(wrong);
+        (ask(SignalKind::terminate())?, ask(SignalKind::interrupt())?)
+    };
+    thread::spawn(move || {
+        runtime.block_on(async {
+            tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
+        });
+        ASKED.store(true, Ordering::Release);
+    });
+    Ok(())
+}
+
+/// Whether the run has been asked to end.
+///
+/// # Errors
+/// It has.
+pub fn go_on() -> Result<(), ScaleError> {
+    if ASKED.load(Ordering::Acquire) { Err(ScaleError::run("signals", "asked to end")) } else { Ok(()) }
+}
+
+/// A process that ends when this is dropped.
+#[derive(Debug)]
+pub struct Child {
+    name: String,
+    process: process::Child,
+    input: Option<ChildStdin>,
+}
+
+impl Child {
+    /// Starts it. Its lines go to `lines` with the number; without `lines` nothing is read.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start(
+        name: &str,
+        command: &mut Command,
+        lines: Option<(usize, Sender<Said>)>,
+    ) -> Result<Self, ScaleError> {
+        let output = if lines.is_some() { Stdio::piped() } else { Stdio::null() };
+        command.stdin(Stdio::piped()).stdout(output).stderr(Stdio::null());
+        let mut process = command.spawn().map_err(|cause| {
+            ScaleError::run(format!("{name}: {}", command.get_program().display()), cause)
+        })?;
+        if let (Some((number, lines)), Some(output)) = (lines, process.stdout.take()) {
+            thread::spawn(move || {
+                for line in BufReader::new(output).lines().map_while(Result::ok) {
+                    if lines.send((number, Some(line))).is_err() {
+                        return;
+                    }
+                }
+                // The reader may have gone first.
+                let _ = lines.send((number, None));
+            });
+        }
+        let input = process.stdin.take();
+        Ok(Self { name: name.to_owned(), process, input })
+    }
+
+    /// Its number at the kernel.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Tells it a line.
+    ///
+    /// # Errors
+    /// It has gone.
+    pub fn tell(&mut self, line: &str) -> Result<(), ScaleError> {
+        let told = self.input.as_mut().map(|input| writeln!(input, "{line}").and_then(|()| input.flush()));
+        match told {
+            Some(Ok(())) => Ok(()),
+            Some(Err(cause)) => Err(ScaleError::run(&self.name, cause)),
+            None => Err(ScaleError::run(&self.name, "has been ended")),
+        }
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // One that has ended by itself is only waited for.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
--- /dev/null
+++ b/crates/scale/src/sockets/list.rs
@@ -0,0 +1,310 @@
+//! A stand-in for the list service, in the form of the platform's: what a watch costs the real one is not told by it.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use super::machine;
+use crate::ScaleError;
+
+/// Bytes of a request's head at most.
+const HEAD_MOST: usize = 8192;
+
+struct Entry {
+    text: String,
+    changed: u64,
+}
+
+#[derive(Default)]
+struct Lines {
+    index: u64,
+    entries: Vec<Entry>,
+    /// A reader that stands before this is told the whole.
+    whole_before: u64,
+    /// Of the index that stands, by where the reader stands: each line is written once for all.
+    ready: HashMap<u64, Bytes>,
+}
+
+impl Lines {
+    /// What a reader at `since` is told, as a chunk.
+    fn after(&mut self, since: u64) -> Bytes {
+        let whole = since == 0 || since > self.index || since < self.whole_before;
+        let Self { index, entries, ready, .. } = self;
+        ready
+            .entry(if whole { 0 } else { since })
+            .or_insert_with(|| {
+                if since == *index {
+                    return chunk("\n");
+                }
+                let told = entries.iter().filter(|entry| whole || entry.changed > since);
+                let told: Vec<&str> = told.map(|entry| entry.text.as_str()).collect();
+                let told = told.join(",");
+                chunk(&format!("{{\"index\":{index},\"snapshot\":{whole},\"endpoints\":[{told}]}}\n"))
+            })
+            .clone()
+    }
+}
+
+fn chunk(text: &str) -> Bytes {
+    format!("{:x}\r\n{text}\r\n", text.len()).into()
+}
+
+/// What an upstream's entry says, filled up to `bytes`; the comma after it counts as its own.
+fn entry(number: usize, turn: u64, zones: usize, bytes: usize) -> String {
+    let mut text = format!(
+        "{{\"name\":\"u{number:04}\",\"address\":\"127.0.0.1:{}\",\"zone\":\"zone-{}\",\"type\":\"std\",\
+         \"group\":0,\"status\":\"ready\",\"weight\":1.0,\"since_ms\":{}",
+        20_000 + number,
+        number % zones.max(1),
+        1_700_000_000_000 + turn,
+    );
+    let fill = bytes.saturating_sub(text.len() + ",\"note\":\"\"},".len());
+    let _ = write!(text, ",\"note\":\"{:x<fill$}\"}}", "");
+    text
+}
+
+/// Counts of what has gone over its connections.
+#[derive(Debug, Default)]
+struct Counts {
+    read: AtomicU64,
+    written: AtomicU64,
+    connections: AtomicUsize,
+    cpu_ns: AtomicU64,
+}
+
+/// What it has carried so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Carried {
+    /// Bytes that came.
+    pub read: u64,
+    /// Bytes that went.
+    pub written: u64,
+    /// Watches that stand.
+    pub connections: usize,
+    /// Processor time of its thread, in nanoseconds.
+    pub cpu_ns: u64,
+}
+
+struct Shared {
+    lines: Mutex<Lines>,
+    counts: Counts,
+    /// By its place: where each watch so far stood at its asking.
+    asked: Mutex<Vec<u64>>,
+    beat: Duration,
+}
+
+/// The server, on a thread of its own until it is dropped.
+pub struct ListServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    index: watch::Sender<u64>,
+    /// Counted up to end all connections.
+    closed: watch::Sender<u64>,
+    stop: Option<tokio::sync::oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+    zones: usize,
+    entry_bytes: usize,
+    turn: AtomicU64,
+}
+
+fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ListServer {
+    /// Starts it with a list of `upstreams` entries of `entry_bytes` each, in `zones` zones, at index 1.
+    ///
+    /// # Errors
+    /// There is no port for it.
+    pub fn start(
+        upstreams: usize,
+        entry_bytes: usize,
+        zones: usize,
+        beat: Duration,
+    ) -> Result<Self, ScaleError> {
+        let wrong = |cause| ScaleError::run("the stand-in list server", cause);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(wrong)?;
+        listener.set_nonblocking(true).map_err(wrong)?;
+        let address = listener.local_addr().map_err(wrong)?;
+        let entries = (0..upstreams)
+            .map(|number| Entry { text: entry(number, 0, zones, entry_bytes), changed: 1 })
+            .collect();
+        let lines = Mutex::new(Lines { index: 1, entries, whole_before: 1, ready: HashMap::new() });
+        let shared =
+            Arc::new(Shared { lines, counts: Counts::default(), asked: Mutex::new(Vec::new()), beat });
+        let (index, indices) = watch::channel(1);
+        let (closed, closes) = watch::channel(0);
+        let (stop, stopped) = tokio::sync::oneshot::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(wrong)?;
+        let served = Arc::clone(&shared);
+        let thread = thread::spawn(move || {
+            LocalSet::new().block_on(&runtime, async {
+                let listen = listen(listener, served, indices, closes);
+                tokio::select! { () = listen => {}, _ = stopped => {} }
+            });
+        });
+        let turn = AtomicU64::new(0);
+        Ok(Self {
+            address,
+            shared,
+            index,
+            closed,
+            stop: Some(stop),
+            thread: Some(thread),
+            zones,
+            entry_bytes,
+            turn,
+        })
+    }
+
+    /// The index of the list.
+    #[must_use]
+    pub fn index(&self) -> u64 {
+        *self.index.borrow()
+    }
+
+    /// Changes `count` entries, one after another in turn, at one index each; tells it to nobody before the last.
+    pub fn change(&self, count: usize) {
+        let mut lines = held(&self.shared.lines);
+        for _ in 0..count {
+            let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+            let number = turn as usize % lines.entries.len().max(1);
+            lines.index += 1;
+            let changed = lines.index;
+            let text = entry(number, turn + 1, self.zones, self.entry_bytes);
+            if let Some(entry) = lines.entries.get_mut(number) {
+                *entry = Entry { text, changed };
+            }
+        }
+        lines.ready.clear();
+        self.index.send_replace(lines.index);
+    }
+
+    /// Tells all watches the whole list at the next index.
+    pub fn tell_whole(&self) {
+        let mut lines = held(&self.shared.lines);
+        lines.index += 1;
+        lines.whole_before = lines.index;
+        lines.ready.clear();
+        self.index.send_replace(lines.index);
+    }
+
+    /// Ends all connections at once.
+    pub fn close_all(&self) {
+        self.closed.send_modify(|count| *count += 1);
+    }
+
+    /// What it has carried so far.
+    #[must_use]
+    pub fn carried(&self) -> Carried {
+        let Counts { read, written, connections, cpu_ns } = &self.shared.counts;
+        Carried {
+            read: read.load(Ordering::Acquire),
+            written: written.load(Ordering::Acquire),
+            connections: connections.load(Ordering::Acquire),
+            cpu_ns: cpu_ns.load(Ordering::Acquire),
+        }
+    }
+
+    /// Where each watch so far stood when it asked, in the order of their coming.
+    #[must_use]
+    pub fn asked(&self) -> Vec<u64> {
+        held(&self.shared.asked).clone()
+    }
+}
+
+impl Drop for ListServer {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // The thread may have ended.
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn listen(
+    listener: std::net::TcpListener,
+    shared: Arc<Shared>,
+    indices: watch::Receiver<u64>,
+    closes: watch::Receiver<u64>,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else { return };
+    let timer = Arc::clone(&shared);
+    spawn_local(async move {
+        loop {
+            timer.counts.cpu_ns.store(machine::thread_ns(), Ordering::Release);
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        // Several watchers may be told in one turn, each by one write.
+        let _ = stream.set_nodelay(true);
+        let (shared, indices, mut closes) = (Arc::clone(&shared), indices.clone(), closes.clone());
+        spawn_local(async move {
+            closes.mark_unchanged();
+            shared.counts.connections.fetch_add(1, Ordering::AcqRel);
+            // However it ends, the connection is closed with it.
+            let _ = serve(stream, &shared, indices, closes).await;
+            shared.counts.connections.fetch_sub(1, Ordering::AcqRel);
+        });
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    shared: &Shared,
+    mut indices: watch::Receiver<u64>,
+    mut closes: watch::Receiver<u64>,
+) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && head.len() < HEAD_MOST {
+        if stream.read_buf(&mut head).await? == 0 {
+            return Ok(());
+        }
+    }
+    shared.counts.read.fetch_add(head.len() as u64, Ordering::AcqRel);
+    let head = String::from_utf8_lossy(&head);
+    let since = head.split_once("since=").and_then(|(_, rest)| rest.split([' ', '&']).next()?.parse().ok());
+    let Some(since) = since.filter(|_| head.starts_with("GET /catalog/members?")) else {
+        return stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
+    };
+    held(&shared.asked).push(since);
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n";
+    stream.write_all(answer).await?;
+    shared.counts.written.fetch_add(answer.len() as u64, Ordering::AcqRel);
+    let mut at = since;
+    let mut gone = [0];
+    loop {
+        indices.mark_unchanged();
+        let line = {
+            let mut lines = held(&shared.lines);
+            let line = lines.after(at);
+            at = lines.index;
+            line
+        };
+        stream.write_all(&line).await?;
+        shared.counts.written.fetch_add(line.len() as u64, Ordering::AcqRel);
+        tokio::select! {
+            changed = indices.changed() => if changed.is_err() { return Ok(()) },
+            _ = closes.changed() => return Ok(()),
+            read = stream.read(&mut gone) => if read? == 0 { return Ok(()) },
+            () = sleep(shared.beat) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/sockets/swarm.rs
@@ -0,0 +1,253 @@
+//! The processes of hollow balancers, and what they say.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::process::Command;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::time::{Duration, Instant};
+
+use fennelhatch_distribution::document::Scope;
+use hdrhistogram::Histogram;
+
+use super::child::{self, Child, Said};
+use super::hollow::{Figures, Hollow, Job, Word};
+use super::machine::{self, Usage};
+use super::plane::Change;
+use crate::ScaleError;
+
+/// The longest time of a histogram, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
+/// Whether the run has been asked to end is looked at this often.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Processes of hollow balancers; they end when this is dropped.
+pub struct Swarm {
+    children: Vec<Child>,
+    words: Receiver<Said>,
+    /// By balancer.
+    listed: Vec<bool>,
+    /// By balancer and scope: versions in force and when, in their order.
+    in_force: Vec<HashMap<Scope, Vec<(u64, u64)>>>,
+    wanted: Vec<[Scope; 3]>,
+    figures: Vec<Option<Figures>>,
+    /// Indices that went back.
+    pub back: usize,
+}
+
+/// What the balancers' connections for configuration have carried.
+#[derive(Debug, Clone, Default)]
+pub struct Carried {
+    /// Bytes both ways of all.
+    pub bytes: u64,
+    /// Connections.
+    pub opened: u64,
+    /// Bytes both ways by parent.
+    pub by_parent: BTreeMap<SocketAddr, u64>,
+    /// Of the busiest balancer, in the busiest window since the last call.
+    pub most_in_window: u64,
+}
+
+impl Swarm {
+    /// Starts `balancers`, `per_process` to a process.
+    ///
+    /// # Errors
+    /// A process cannot be started.
+    pub fn start(balancers: &[Hollow], per_process: usize, job: &Job) -> Result<Self, ScaleError> {
+        let own = std::env::current_exe().map_err(|cause| ScaleError::run("this program's place", cause))?;
+        let (said, words): (Sender<_>, _) = channel();
+        let most = balancers.iter().map(|balancer| balancer.number + 1).max().unwrap_or(0);
+        let mut wanted = vec![[Scope::Fleet, Scope::Fleet, Scope::Fleet]; most];
+        for balancer in balancers {
+            wanted[balancer.number] = balancer.wanted();
+        }
+        let mut children = Vec::new();
+        for (number, part) in balancers.chunks(per_process.max(1)).enumerate() {
+            let name = format!("hollow balancers, process {number}");
+            let mut command = Command::new(&own);
+            // The plan is the rig's; a child needs none, but the command line reads it first.
+            command.args(std::env::args_os().skip_while(|arg| arg != "--plan").take(2));
+            command.args(["sockets", "--hollow-balancers"]);
+            let mut child = Child::start(&name, &mut command, Some((number, said.clone())))?;
+            let job = Job { balancers: part.to_vec(), ..job.clone() };
+            let job = serde_json::to_string(&job).map_err(|cause| ScaleError::run(&name, cause))?;
+            child.tell(&job)?;
+            children.push(child);
+        }
+        let figures = vec![None; children.len()];
+        Ok(Self {
+            children,
+            words,
+            listed: vec![false; most],
+            in_force: vec![HashMap::new(); most],
+            wanted,
+            figures,
+            back: 0,
+        })
+    }
+
+    /// Their numbers at the kernel.
+    pub fn pids(&self) -> impl Iterator<Item = u32> {
+        self.children.iter().map(Child::pid)
+    }
+
+    /// Hears what they say, for so long.
+    ///
+    /// # Errors
+    /// One has ended or cannot go on.
+    pub fn hear(&mut self, span: Duration) -> Result<(), ScaleError> {
+        let until = Instant::now() + span;
+        loop {
+            child::go_on()?;
+            let left = until.saturating_duration_since(Instant::now());
+            match self.words.recv_timeout(left.min(LOOK_EVERY)) {
+                Ok((process, line)) => self.take(process, line)?,
+                Err(RecvTimeoutError::Timeout) if left <= LOOK_EVERY => return Ok(()),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => {
+                    return Err(ScaleError::run("hollow balancers", "all have ended"));
+                }
+            }
+        }
+    }
+
+    /// Hears until `done`, looked at every few milliseconds, or `most` is over; whether it came.
+    ///
+    /// # Errors
+    /// One has ended or cannot go on.
+    pub fn hear_until(
+        &mut self,
+        most: Duration,
+        mut done: impl FnMut(&Self) -> bool,
+    ) -> Result<bool, ScaleError> {
+        let until = Instant::now() + most;
+        loop {
+            if done(self) {
+                return Ok(true);
+            }
+            if Instant::now() > until {
+                return Ok(false);
+            }
+            self.hear(Duration::from_millis(5))?;
+        }
+    }
+
+    fn take(&mut self, process: usize, line: Option<String>) -> Result<(), ScaleError> {
+        let place = || format!("hollow balancers, process {process}");
+        let Some(line) = line else { return Err(ScaleError::run(place(), "has ended")) };
+        match serde_json::from_str(&line).map_err(|cause| ScaleError::run(place(), cause))? {
+            Word::Listed(balancer) => self.listed[balancer] = true,
+            Word::InForce { balancer, scope, version, at_ns } => {
+                self.in_force[balancer].entry(scope).or_default().push((version, at_ns));
+            }
+            Word::Back { .. } => self.back += 1,
+            Word::Figures(figures) => self.figures[process] = Some(figures),
+            Word::Failed(cause) => return Err(ScaleError::run(place(), cause)),
+        }
+        Ok(())
+    }
+
+    /// Whether all have taken in their list.
+    #[must_use]
+    pub fn all_listed(&self) -> bool {
+        self.listed.iter().all(|listed| *listed)
+    }
+
+    /// Balancers that do not have the newest version of each scope that they want.
+    #[must_use]
+    pub fn missing(&self, newest: &HashMap<Scope, u64>) -> usize {
+        let has = |balancer: usize, scope: &Scope| {
+            let Some(&version) = newest.get(scope) else { return true };
+            self.last(balancer, scope).is_some_and(|(last, _)| last >= version)
+        };
+        (0..self.wanted.len())
+            .filter(|&balancer| !self.wanted[balancer].iter().all(|scope| has(balancer, scope)))
+            .count()
+    }
+
+    fn last(&self, balancer: usize, scope: &Scope) -> Option<(u64, u64)> {
+        self.in_force[balancer].get(scope)?.last().copied()
+    }
+
+    /// When each balancer that wants a change's scope had it, or a newer one, in force; `None` where it never had.
+    pub fn times<'a>(&'a self, change: &'a Change) -> impl Iterator<Item = (usize, Option<u64>)> + 'a {
+        (0..self.wanted.len()).filter(|&balancer| self.wanted[balancer].contains(&change.scope)).map(
+            |balancer| {
+                let had = self.in_force[balancer].get(&change.scope);
+                let at = had.and_then(|had| had.iter().find(|(version, _)| *version >= change.version));
+                (balancer, at.map(|(_, at_ns)| *at_ns))
+            },
+        )
+    }
+
+    /// What their connections for configuration have carried.
+    ///
+    /// # Errors
+    /// One does not answer.
+    pub fn carried(&mut self) -> Result<Carried, ScaleError> {
+        self.figures.iter_mut().for_each(|figures| *figures = None);
+        for child in &mut self.children {
+            child.tell("figures")?;
+        }
+        let all = |swarm: &Self| swarm.figures.iter().all(Option::is_some);
+        if !self.hear_until(Duration::from_secs(20), all)? {
+            return Err(ScaleError::run("hollow balancers", "no figures within 20 s"));
+        }
+        let mut sum = Carried::default();
+        for figures in self.figures.iter().flatten() {
+            sum.bytes += figures.read + figures.written;
+            sum.opened += figures.opened;
+            for (&parent, bytes) in &figures.by_parent {
+                *sum.by_parent.entry(parent).or_default() += bytes;
+            }
+            sum.most_in_window = sum.most_in_window.max(figures.most_in_window);
+        }
+        Ok(sum)
+    }
+
+    /// What all of them have used.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let each = self.pids().filter_map(machine::usage);
+        each.fold(Usage::default(), |sum, one| Usage {
+            cpu_ns: sum.cpu_ns + one.cpu_ns,
+            resident_kb: sum.resident_kb + one.resident_kb,
+        })
+    }
+}
+
+/// Times until changes were in force.
+#[derive(Debug, Clone)]
+pub struct Times(Histogram<u64>);
+
+impl Times {
+    /// None yet.
+    ///
+    /// # Errors
+    /// Never, as its bounds are sound.
+    pub fn new() -> Result<Self, ScaleError> {
+        let histogram = Histogram::new_with_bounds(1, LONGEST_US, 3);
+        histogram.map(Self).map_err(|cause| ScaleError::run("histogram", cause))
+    }
+
+    /// Adds one, in nanoseconds.
+    pub fn add(&mut self, ns: u64) {
+        self.0.saturating_record((ns / 1000).max(1));
+    }
+
+    /// At a part of them, in ms; 1 for the last.
+    #[must_use]
+    pub fn at(&self, part: f64) -> f64 {
+        if part >= 1.0 {
+            self.0.max() as f64 / 1000.0
+        } else {
+            self.0.value_at_quantile(part) as f64 / 1000.0
+        }
+    }
+
+    /// How many.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.0.len()
+    }
+}
--- /dev/null
+++ b/crates/scale/tests/sockets.rs
@@ -0,0 +1,220 @@
+//! Hollow balancers on real sockets, small: counts and order, no times.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fennelhatch_scale::plan::Plan;
+use fennelhatch_scale::slope::Results;
+use fennelhatch_scale::sockets::plane::{self, Role};
+use fennelhatch_scale::sockets::{fleet, machine};
+
+/// Longer than anything takes that works.
+const LONG: Duration = Duration::from_secs(60);
+
+fn plan_path() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("plan.toml")
+}
+
+fn plan() -> Plan {
+    Plan::read(&plan_path()).expect("a sound plan")
+}
+
+/// A folder of the test's own.
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // Left by a run before.
+    let _ = fs::remove_dir_all(&folder);
+    folder
+}
+
+fn scale(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_scale"));
+    command.arg("--plan").arg(plan_path()).args(arguments);
+    command
+}
+
+/// The row of a small play, as heads and values.
+fn played(scenario: &str, seed: &str) -> Vec<(String, String)> {
+    let out = folder(&format!("sockets-{scenario}"));
+    let out_text = out.to_str().expect("text");
+    let arguments = ["sockets", "--small", "--scenario", scenario, "--seed", seed, "--out", out_text];
+    let done = scale(&arguments).output().expect("starts");
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    let results = Results::read(&out.join("results"), "sockets").expect("written");
+    let [row] = &results.rows[..] else { panic!("one row: {results:?}") };
+    results.columns.iter().cloned().zip(row.iter().cloned()).collect()
+}
+
+fn value(row: &[(String, String)], head: &str) -> usize {
+    let (_, value) = row.iter().find(|(column, _)| column == head).expect("the column");
+    value.parse().expect("a count")
+}
+
+fn assert_whole(row: &[(String, String)]) {
+    assert_eq!(value(row, "balancers"), 60);
+    assert_eq!(value(row, "changes"), 24);
+    assert!(value(row, "changes in force at balancers") >= 24, "{row:?}");
+    assert_eq!(value(row, "indices that went back"), 0);
+    assert_eq!(value(row, "balancers without the last change"), 0);
+    assert_eq!(value(row, "watches of the list that stood elsewhere at the end"), 0);
+}
+
+#[test]
+fn all_end_at_the_last_change_with_a_relay_killed_in_the_middle() {
+    assert_whole(&played("relay", "3"));
+}
+
+#[test]
+fn all_end_at_the_last_change_after_a_cut() {
+    assert_whole(&played("cut", "4"));
+}
+
+#[test]
+fn all_end_at_the_last_change_with_all_control_processes_started_anew() {
+    assert_whole(&played("reconnect", "5"));
+}
+
+fn refused(arguments: &[&str]) -> String {
+    let Output { status, stderr, .. } = scale(arguments).output().expect("starts");
+    assert!(!status.success(), "{arguments:?}");
+    String::from_utf8(stderr).expect("text")
+}
+
+#[test]
+fn bad_arguments_end_with_the_place() {
+    for (arguments, place) in [
+        (["sockets", "--balancers", "0"], "--balancers: 1 to 1900"),
+        (["sockets", "--balancers", "1901"], "--balancers: 1 to 1900"),
+        (["sockets", "--per-process", "0"], "--per-process: 1 at least"),
+        (["sockets", "--per-process", "5"], "--per-process: so many that 200 processes do"),
+        (["sockets", "--changes", "0"], "--changes: 1 at least"),
+        (["sockets", "--seconds", "0"], "--seconds: 1 to 600"),
+        (["sockets", "--seeds", "0"], "--seeds: 1 to 100"),
+        (["sockets", "--list", "0"], "--list: 1 to 10000"),
+        (["sockets", "--scenario", "flood"], "'flood' for '--scenario"),
+    ] {
+        let told = refused(&arguments);
+        assert!(told.contains(place), "{arguments:?}: {told}");
+    }
+    let told = refused(&["sockets", "--small", "--out", "/dev/null/nowhere"]);
+    assert!(told.contains("/dev/null/nowhere/results"), "{told}");
+}
+
+/// Children of a process, by what the kernel tells of all.
+fn children_of(parent: u32) -> BTreeSet<u32> {
+    let all = fs::read_dir("/proc").expect("there").flatten();
+    let pids = all.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
+    let is_child = |pid: &u32| {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let fields = stat.rsplit_once(')').map(|(_, rest)| rest.split_ascii_whitespace());
+        fields.and_then(|mut fields| fields.nth(1)?.parse().ok()) == Some(parent)
+    };
+    pids.filter(is_child).collect()
+}
+
+fn is_hollow(pid: u32) -> bool {
+    fs::read(format!("/proc/{pid}/cmdline"))
+        .is_ok_and(|line| String::from_utf8_lossy(&line).contains("--hollow-balancers"))
+}
+
+fn wait_for<T>(what: &str, mut happened: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = happened() {
+            return value;
+        }
+        assert!(start.elapsed() < LONG, "never happened: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A play that would go on for long, with all of its processes.
+fn long_play(name: &str) -> (Child, BTreeSet<u32>) {
+    let out = folder(name);
+    let out = out.to_str().expect("text");
+    let arguments =
+        ["sockets", "--scenario", "none", "--balancers", "40", "--per-process", "20", "--out", out];
+    let play = scale(&arguments).stderr(Stdio::piped()).stdout(Stdio::null()).spawn().expect("starts");
+    let processes = plan().budget.control_machines.value + 2;
+    let children = wait_for("all processes are there", || {
+        Some(children_of(play.id()))
+            .filter(|all| all.len() == processes && all.iter().filter(|&&pid| is_hollow(pid)).count() == 2)
+    });
+    (play, children)
+}
+
+/// Ends one process at once, or asks it to end.
+fn end(pid: u32, signal: &str) {
+    let done = Command::new("kill").args([signal, &pid.to_string()]).status().expect("starts");
+    assert!(done.success());
+}
+
+fn assert_gone(play: Child, children: &BTreeSet<u32>, place: &str) {
+    let done = play.wait_with_output().expect("ends");
+    assert!(!done.status.success());
+    let told = String::from_utf8_lossy(&done.stderr);
+    assert!(told.contains(place), "{told}");
+    for &pid in children {
+        assert_eq!(machine::usage(pid), None, "process {pid} is still there");
+    }
+}
+
+#[test]
+fn no_process_is_left_of_a_play_that_failed() {
+    let (play, children) = long_play("sockets-failed");
+    let hollow = children.iter().copied().find(|&pid| is_hollow(pid)).expect("one");
+    end(hollow, "-KILL");
+    assert_gone(play, &children, "hollow balancers, process");
+}
+
+#[test]
+fn no_process_is_left_of_a_play_that_is_asked_to_end() {
+    let (play, children) = long_play("sockets-asked");
+    end(play.id(), "-TERM");
+    assert_gone(play, &children, "asked to end");
+}
+
+#[test]
+fn balancers_lie_over_services_and_zones_as_the_plan_has_it() {
+    let plan = plan();
+    let dealt = fleet(&plan, plan.fleet.upstreams.value);
+    for (service, &size) in plan.service_sizes().iter().enumerate() {
+        assert_eq!(dealt.iter().filter(|one| one.0 == service).count(), size, "service {service}");
+    }
+    for region in 0..plan.fleet.regions.value {
+        let here = dealt.iter().filter(|one| plane::region_of(&plan, one.1) == region).count();
+        let share = here as f64 / dealt.len() as f64;
+        assert!((share - plan.fleet.region_shares.value[region]).abs() < 0.01, "region {region}: {share}");
+    }
+}
+
+#[test]
+fn control_processes_are_dealt_without_loops_and_each_balancer_has_two_parents_at_least() {
+    let plan = plan();
+    let machines = plane::deal(&plan);
+    assert_eq!(machines.len(), plan.budget.control_machines.value);
+    for machine in &machines {
+        assert_eq!(machine.parents.is_empty(), machine.role == Role::Origin, "{machine:?}");
+        assert!(machine.parents.iter().all(|&parent| machines[parent].role < machine.role), "{machine:?}");
+    }
+    for zone in 0..plan.fleet.zones.value {
+        let region = plane::region_of(&plan, zone);
+        let own = machines.iter().filter(|machine| {
+            machine.zone == Some(zone) || machine.role == Role::Region && machine.region == region
+        });
+        assert!(own.count() >= 2, "zone {zone}");
+    }
+}
+
+#[test]
+fn a_body_has_the_bytes_that_it_should_and_differs_from_turn_to_turn() {
+    for bytes in [2048, 4096, 6144] {
+        let body = plane::body(bytes, 1);
+        assert!((bytes - 60..=bytes).contains(&body.len()), "{}", body.len());
+        assert_ne!(body, plane::body(bytes, 2));
+    }
+}
