--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod real;
 pub mod slope;
 pub mod sockets;
+pub mod world;
 
 /// What ends a run.
 #[derive(Debug, Error)]
--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -1,18 +1,314 @@
 //! Slopes of a real process: memory, start, processor time against the list's length.
 
-use clap::Args;
+use std::path::Path;
+use std::sync::atomic::AtomicUsize;
+use std::thread;
+use std::time::Duration;
+
+use clap::{Args, ValueEnum};
+use oorandom::Rand64;
 
 use crate::ScaleError;
-use crate::plan::Plan;
+use crate::plan::{Plan, Reading};
+use crate::slope::{Fit, Point, Slope, commit};
+use crate::world::{self, Balancer, Common, Counts, Discovery, Upstreams, Usage, Way};
+
+/// What is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Part {
+    /// Start and memory, of processes that serve nobody yet.
+    Start,
+    /// Processor time and memory of processes that serve calls.
+    Request,
+    /// The share of a core at rest.
+    Idle,
+    /// All of it.
+    All,
+}
 
 /// Slopes of a real process: memory, start, processor time against the list's length.
 #[derive(Debug, Args)]
-pub struct Arguments {}
+pub struct Arguments {
+    #[command(flatten)]
+    common: Common,
+    /// What is measured.
+    #[arg(long, value_enum, default_value_t = Part::All)]
+    part: Part,
+    /// Lengths of the list, at least two.
+    #[arg(long, value_delimiter = ',', default_values_t = [6, 60, 190, 600, 1900])]
+    sizes: Vec<usize>,
+    /// Plays of each size.
+    #[arg(long, default_value_t = 5)]
+    plays: usize,
+    /// Calls a second; without it the mean of a balancer, where the plan's calls are those at the front.
+    #[arg(long)]
+    rate: Option<f64>,
+}
+
+/// Time between the lines of a watch at rest.
+fn beat(plan: &Plan) -> Duration {
+    Duration::from_secs_f64(plan.list.beat_s.value)
+}
+
+/// Lengths at most, so that ports and descriptors are enough.
+const SIZE_MOST: usize = 4000;
+/// Calls a second at most.
+const RATE_MOST: f64 = 10_000.0;
 
 /// Does it.
 ///
 /// # Errors
 /// With the place where it went wrong.
-pub fn run(_arguments: &Arguments, _plan: &Plan) -> Result<(), ScaleError> {
+pub fn run(arguments: &Arguments, plan: &Plan) -> Result<(), ScaleError> {
+    let wrong = |name, expected: String| Err(ScaleError::Argument { name, expected });
+    let mut sizes = arguments.sizes.clone();
+    sizes.sort_unstable();
+    sizes.dedup();
+    if sizes.len() < 2 || sizes[0] < 1 || sizes[sizes.len() - 1] > SIZE_MOST {
+        return wrong("sizes", format!("two at least, each 1 to {SIZE_MOST}"));
+    }
+    if !(1..=100).contains(&arguments.plays) {
+        return wrong("plays", "1 to 100".to_owned());
+    }
+    let rate = arguments.rate.unwrap_or_else(|| plan.mean_rate(Reading::Front));
+    if !(1.0..=RATE_MOST).contains(&rate) {
+        return wrong("rate", format!("1 to {RATE_MOST} a second"));
+    }
+    let program = arguments.common.program(world::BALANCER)?;
+    let (slopes, _) = arguments.common.folders()?;
+    let (sizes, plays) = if arguments.common.small { (vec![6, 60], 1) } else { (sizes, arguments.plays) };
+    let bench = Bench { arguments, plan, program: &program, sizes, plays, rate };
+    let wants = |part| arguments.part == part || arguments.part == Part::All;
+    let mut written = Vec::new();
+    if wants(Part::Start) {
+        written.extend(bench.start()?);
+    }
+    if wants(Part::Idle) {
+        written.extend(bench.idle()?);
+    }
+    if wants(Part::Request) {
+        written.extend(bench.request()?);
+    }
+    for slope in written {
+        println!("{}", slope.name);
+        for point in &slope.points {
+            println!(
+                "  {:>6}: {:>10.3} {} ({:.3} to {:.3})",
+                point.x, point.y, slope.y_unit, point.low, point.high
+            );
+        }
+        if let Some(fit) = slope.fit {
+            println!("  {:.4} + {:.6} each, residual {:.3}", fit.base, fit.each, fit.residual);
+        }
+        slope.write(&slopes)?;
+    }
     Ok(())
 }
+
+struct Bench<'a> {
+    arguments: &'a Arguments,
+    plan: &'a Plan,
+    program: &'a Path,
+    sizes: Vec<usize>,
+    plays: usize,
+    rate: f64,
+}
+
+/// By size, what each play gave.
+type Plays = Vec<(usize, Vec<f64>)>;
+
+impl Bench<'_> {
+    fn slope(&self, part: &str, name: &str, what: &str, unit: &str, plays: Plays, note: &str) -> Slope {
+        let points: Vec<Point> =
+            plays.into_iter().filter_map(|(size, plays)| Point::of(size as f64, plays)).collect();
+        Slope {
+            name: format!("process.{name}_by_upstreams"),
+            what: what.to_owned(),
+            x_unit: "upstreams in the list".to_owned(),
+            y_unit: unit.to_owned(),
+            command: format!(
+                "target/release/scale process --part {part} --plays {} --seed {}",
+                self.plays, self.arguments.common.seed
+            ),
+            commit: commit(),
+            plays: self.plays,
+            fit: Fit::through(&points),
+            points,
+            note: note.to_owned(),
+        }
+    }
+
+    /// A balancer with so many upstreams in its list, from its configuration and from discovery alike.
+    fn balancer(&self, upstreams: &Upstreams, discovery: &Discovery) -> Result<Balancer, ScaleError> {
+        let entries = upstreams.entries();
+        let settings = world::settings(self.plan, entries.len());
+        let configuration = world::configuration("b0", discovery.address, &entries, &settings);
+        Balancer::start(self.program, &configuration, None)
+    }
+
+    fn world(&self, size: usize, calls: usize) -> Result<(Upstreams, Discovery), ScaleError> {
+        let upstreams = Upstreams::start(size, 2, calls)?;
+        let discovery = Discovery::start(upstreams.entries(), beat(self.plan))?;
+        Ok((upstreams, discovery))
+    }
+
+    /// One process after the other.
+    fn start(&self) -> Result<Vec<Slope>, ScaleError> {
+        let (mut listens, mut serves, mut memory) = (Plays::new(), Plays::new(), Plays::new());
+        for &size in &self.sizes {
+            let (upstreams, discovery) = self.world(size, 0)?;
+            let mut of_size = [const { Vec::new() }; 3];
+            for _ in 0..self.plays {
+                let balancer = self.balancer(&upstreams, &discovery)?;
+                // Until the list from discovery has been taken in too.
+                thread::sleep(Duration::from_millis(300));
+                of_size[0].push(balancer.listens_after.as_secs_f64() * 1000.0);
+                of_size[1].push(balancer.serves_after.as_secs_f64() * 1000.0);
+                of_size[2].push(world::memory_kb(balancer.process.id())? as f64);
+            }
+            let [listens_ms, serves_ms, kb] = of_size;
+            listens.push((size, listens_ms));
+            serves.push((size, serves_ms));
+            memory.push((size, kb));
+        }
+        let list = "The same list comes with the configuration and, whole, from a stand-in discovery that answers at once; \
+                    as many balancers share it as it has upstreams.";
+        Ok(vec![
+            self.slope(
+                "start",
+                "memory_kb",
+                "Resident memory of a balancer that serves nobody yet, 0.3 s after it could.",
+                "KiB",
+                memory,
+                list,
+            ),
+            self.slope(
+                "start",
+                "start_ms",
+                "From the start of a balancer's process to its first 200 for its health.",
+                "ms",
+                serves,
+                &format!("{list} Asked for every 0.2 ms."),
+            ),
+            self.slope(
+                "start",
+                "listening_ms",
+                "From the start of a balancer's process to its line that it listens.",
+                "ms",
+                listens,
+                list,
+            ),
+        ])
+    }
+
+    /// All sizes at once: at rest they take next to nothing from each other.
+    fn idle(&self) -> Result<Vec<Slope>, ScaleError> {
+        let span = Duration::from_secs(if self.arguments.common.small { 1 } else { 6 });
+        let mut shares: Plays = self.sizes.iter().map(|&size| (size, Vec::new())).collect();
+        let mut worlds = Vec::new();
+        for &size in &self.sizes {
+            let (upstreams, discovery) = self.world(size, 0)?;
+            let balancer = self.balancer(&upstreams, &discovery)?;
+            worlds.push((upstreams, discovery, balancer));
+        }
+        thread::sleep(Duration::from_millis(500));
+        for _ in 0..self.plays {
+            let before = self.usages(&worlds)?;
+            thread::sleep(span);
+            for ((before, after), (_, shares)) in before.iter().zip(self.usages(&worlds)?).zip(&mut shares) {
+                shares.push(after.since(*before).cpu_ns as f64 / span.as_nanos() as f64);
+            }
+        }
+        let note = format!(
+            "Of all its threads, over {} s: the watch stands and says an empty line every {} s, the decisions' timers \
+             run, a line of counts is written every 5 s; no calls, no changes.",
+            span.as_secs(),
+            self.plan.list.beat_s.value
+        );
+        Ok(vec![self.slope(
+            "idle",
+            "idle_core",
+            "Share of a core of a balancer at rest.",
+            "of a core",
+            shares,
+            &note,
+        )])
+    }
+
+    fn usages(&self, worlds: &[(Upstreams, Discovery, Balancer)]) -> Result<Vec<Usage>, ScaleError> {
+        worlds.iter().map(|(_, _, balancer)| Usage::of(balancer.process.id())).collect()
+    }
+
+    fn request(&self) -> Result<Vec<Slope>, ScaleError> {
+        let (warm, span) = if self.arguments.common.small { (0.2, 0.5) } else { (1.5, 2.0) };
+        let span = Duration::from_secs_f64(span);
+        let (mut request, mut memory, mut opened) = (Plays::new(), Plays::new(), Vec::new());
+        let mut rng = Rand64::new(u128::from(self.arguments.common.seed));
+        for &size in &self.sizes {
+            let calls_most = (self.rate * 10.0) as usize + 1000;
+            let mut of_size = [const { Vec::new() }; 2];
+            let mut new = 0;
+            for _ in 0..self.plays {
+                let (upstreams, discovery) = self.world(size, calls_most)?;
+                let balancer = self.balancer(&upstreams, &discovery)?;
+                let way = Way {
+                    targets: vec![balancer.address],
+                    warm: 32,
+                    deadline: Duration::from_secs_f64(self.plan.traffic.deadline_s.value),
+                    tenants: self.plan.traffic.tenants.value,
+                };
+                let ways = [way];
+                let mut make = |span| -> Result<usize, ScaleError> {
+                    let calls = world::paired(&mut rng, 1, self.rate, span, false);
+                    let first = upstreams.seen.take_ids(calls.len())?;
+                    let played = world::play(&calls, &ways, first, &AtomicUsize::new(0))?;
+                    let counts = Counts::of(&calls, &played, &upstreams.seen, first);
+                    if counts.right < counts.calls {
+                        return Err(ScaleError::run(
+                            format!("calls with {size} upstreams"),
+                            format!("{counts:?}"),
+                        ));
+                    }
+                    Ok(calls.len())
+                };
+                make(Duration::from_secs_f64(warm))?;
+                let (before, opened) = (Usage::of(balancer.process.id())?, upstreams.seen.opened());
+                let calls = make(span)?;
+                let used = Usage::of(balancer.process.id())?.since(before);
+                new += upstreams.seen.opened() - opened;
+                of_size[0].push(used.cpu_ns as f64 / 1000.0 / calls as f64);
+                of_size[1].push(world::memory_kb(balancer.process.id())? as f64);
+            }
+            let [us, kb] = of_size;
+            request.push((size, us));
+            memory.push((size, kb));
+            opened.push(format!("{size}: {:.1}", new as f64 / self.plays as f64));
+        }
+        let note = format!(
+            "Of all its threads, timers and log with it, at {:.0} calls a second (drawn times) for {} s after {warm} s \
+             of the same; its upstreams answer at once, callers keep their connections. New connections to upstreams \
+             in that time, by length of the list: {}.",
+            self.rate,
+            span.as_secs_f64(),
+            opened.join(", ")
+        );
+        Ok(vec![
+            self.slope(
+                "request",
+                "request_us",
+                "Processor time of a balancer for one call.",
+                "us",
+                request,
+                &note,
+            ),
+            self.slope(
+                "request",
+                "memory_loaded_kb",
+                "Resident memory of a balancer that has served calls.",
+                "KiB",
+                memory,
+                &note,
+            ),
+        ])
+    }
+}
