--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -93,7 +93,7 @@
         println!("{}", slope.name);
         for point in &slope.points {
             println!(
-                "  {:>6}: {:>10.3} {} ({:.3} to {:.3})",
+                "  {:>6}: {:>10.5} {} ({:.5} to {:.5})",
                 point.x, point.y, slope.y_unit, point.low, point.high
             );
         }
