Keep the calls' own thread apart from what it wakes, and count what steal takes

Change: the caller has a core to itself, and what the machine below takes is counted beside each play.

--- a/crates/scale/src/latency.rs
+++ b/crates/scale/src/latency.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use clap::{Args, ValueEnum};
 use oorandom::Rand64;
@@ -43,9 +43,10 @@
     /// Upstreams in the list, which as many balancers share.
     #[arg(long, default_value_t = 60)]
     upstreams: usize,
-    /// The core that the balancer is held to (by `taskset`); without it the system chooses.
+    /// Let the system choose cores for all threads. Without it the caller's thread, which spins, has core 0 for itself
+    /// and all else the others (by `taskset`): what a caller wakes up would wait on its core for the system's next tick.
     #[arg(long)]
-    core: Option<usize>,
+    anywhere: bool,
 }
 
 /// Calls a second at most: one caller's thread carries no more.
@@ -79,10 +80,23 @@
     if !(1..=2000).contains(&arguments.upstreams) {
         return wrong("upstreams", "1 to 2000".to_owned());
     }
+    let cores =
+        thread::available_parallelism().map_err(|cause| ScaleError::run("counting cores", cause))?.get();
+    let placement =
+        if arguments.anywhere || arguments.common.small { Placement::Anywhere } else { Placement::Apart };
+    if placement == Placement::Apart && cores < CORES_LEAST {
+        return wrong("anywhere", format!("needed with under {CORES_LEAST} cores"));
+    }
     let program = arguments.common.program(world::BALANCER)?;
     let (slopes, results) = arguments.common.folders()?;
-    let mut bench =
-        Bench { arguments, plan, program: &program, rng: Rand64::new(u128::from(arguments.common.seed)) };
+    let mut bench = Bench {
+        arguments,
+        plan,
+        program: &program,
+        cores,
+        placement,
+        rng: Rand64::new(u128::from(arguments.common.seed)),
+    };
     if arguments.beside == Beside::MadeOf {
         let table = bench.made_of(&rates)?;
         println!("{}", table.columns.join(" | "));
@@ -102,6 +116,33 @@
     Ok(())
 }
 
+/// Where threads run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placement {
+    /// Where the system puts them.
+    Anywhere,
+    /// The caller on core 0, all else on the others.
+    Apart,
+    /// The same with the balancer alone on the last.
+    Alone,
+}
+
+impl Placement {
+    /// Places this thread and what it starts but the caller; tells where the balancer is held to. `held` says whether
+    /// another play was placed before.
+    fn place(self, cores: usize, held: bool) -> Result<Option<usize>, ScaleError> {
+        match self {
+            Self::Anywhere if !held => Ok(None),
+            Self::Anywhere => world::hold_to(&format!("0-{}", cores - 1)).map(|()| None),
+            Self::Apart => world::hold_to(&format!("1-{}", cores - 1)).map(|()| None),
+            Self::Alone => world::hold_to(&format!("1-{}", cores - 2)).map(|()| Some(cores - 1)),
+        }
+    }
+}
+
+/// With fewer cores the caller can't have one for itself.
+const CORES_LEAST: usize = 4;
+
 /// Seconds of a play: longer where calls are few.
 fn span(rate: f64, small: bool) -> Duration {
     let calls = if small { 100.0 } else { 6000.0 };
@@ -113,7 +154,7 @@
 struct Setup {
     rate: f64,
     upstreams: usize,
-    core: Option<usize>,
+    placement: Placement,
     even: bool,
     relay: bool,
     changes: bool,
@@ -133,17 +174,28 @@
     late: Times,
     kept: Times,
     new: Times,
+    around: Around,
+}
+
+/// What else there is to tell of a play.
+#[derive(Debug, Clone, Copy)]
+struct Around {
     counts: Counts,
     used: Usage,
     span: Duration,
+    /// Connections to upstreams.
     opened: u64,
     changes: usize,
+    /// Ms of a core that the machine under this one took meanwhile, over all cores.
+    stolen_ms: u64,
 }
 
 struct Bench<'a> {
     arguments: &'a Arguments,
     plan: &'a Plan,
     program: &'a Path,
+    cores: usize,
+    placement: Placement,
     rng: Rand64,
 }
 
@@ -152,7 +204,7 @@
         Setup {
             rate,
             upstreams: self.arguments.upstreams,
-            core: self.arguments.core,
+            placement: self.placement,
             even: false,
             relay: false,
             changes: self.arguments.beside == Beside::List,
@@ -164,12 +216,13 @@
         let length = span(setup.rate, self.arguments.common.small) + warm;
         let calls =
             world::paired(&mut self.rng, 2 + usize::from(setup.relay), setup.rate, length, setup.even);
+        let core = setup.placement.place(self.cores, self.placement != Placement::Anywhere)?;
         let upstreams = Upstreams::start(setup.upstreams, 2, calls.len())?;
         let beat = Duration::from_secs_f64(self.plan.list.beat_s.value);
         let discovery = Discovery::start(upstreams.entries(), beat)?;
         let settings = world::settings(self.plan, setup.upstreams);
         let configuration = world::configuration("b0", discovery.address, &upstreams.entries(), &settings);
-        let balancer = Balancer::start(self.program, &configuration, setup.core)?;
+        let balancer = Balancer::start(self.program, &configuration, core)?;
         let relay = if setup.relay { Some(ByteRelay::start(upstreams.addresses.clone())?) } else { None };
         let way = |targets| Way {
             targets,
@@ -184,23 +237,22 @@
 
         let progress = AtomicUsize::new(0);
         let over = AtomicBool::new(false);
+        let core_0 = setup.placement != Placement::Anywhere;
         let (played, marks, changes) = thread::scope(|scope| {
             let caller = scope.spawn(|| {
-                let played = world::play(&calls, &ways, first, &progress);
+                let placed = if core_0 { world::hold_to("0") } else { Ok(()) };
+                let played = placed.and_then(|()| world::play(&calls, &ways, first, &progress));
                 over.store(true, Ordering::Release);
                 played
             });
-            let (mut marks, mut changes) = (None, 0);
+            let (mut marks, mut changes, began) = (None, 0, Instant::now());
             while !over.load(Ordering::Acquire) {
-                thread::sleep(if setup.changes { CHANGE_EVERY } else { Duration::from_millis(5) });
+                thread::sleep(Duration::from_millis(5));
                 if marks.is_none() && progress.load(Ordering::Acquire) >= begins {
-                    marks = Some((
-                        Usage::of(balancer.process.id()),
-                        upstreams.seen.opened(),
-                        progress.load(Ordering::Acquire),
-                    ));
+                    marks =
+                        Some((world::stolen_ms(), Usage::of(balancer.process.id()), upstreams.seen.opened()));
                 }
-                if setup.changes {
+                if setup.changes && began.elapsed() > CHANGE_EVERY * (changes as u32 + 1) {
                     change(&upstreams, &discovery, changes);
                     changes += 1;
                 }
@@ -208,13 +260,15 @@
             (caller.join(), marks, changes)
         });
         let played = played.map_err(|_| ScaleError::run("calling", "the caller's thread ended"))??;
-        let Some((before, opened, _)) = marks else {
+        let Some((stolen, before, opened)) = marks else {
             return Err(ScaleError::run("calling", "the play was over before its start"));
         };
         let used = Usage::of(balancer.process.id())?.since(before?);
         let counts = Counts::of(&calls, &played, &upstreams.seen, first);
         let opened = upstreams.seen.opened() - opened;
-        sort_out(&calls[begins..], &played[begins..], counts, used, length - warm, opened, changes)
+        let stolen_ms = world::stolen_ms().saturating_sub(stolen);
+        let around = Around { counts, used, span: length - warm, opened, changes, stolen_ms };
+        sort_out(&calls[begins..], &played[begins..], around)
     }
 
     /// Added latency against the rate.
@@ -225,15 +279,17 @@
         for &rate in rates {
             let mut of_rate: [Vec<f64>; 4] = [const { Vec::new() }; 4];
             let (mut counts, mut changes, mut busy, mut late) = (Counts::default(), 0, 0.0, 0.0_f64);
+            let mut stolen = 0.0;
             for _ in 0..plays {
                 let play = self.play(&self.setup(rate))?;
                 for (place, quantile) in QUANTILES.into_iter().enumerate() {
                     of_rate[place].push(play.through.us(quantile) - play.direct.us(quantile));
                 }
                 of_rate[3].push(play.direct.us(0.99));
-                counts = counts.and(play.counts);
-                changes += play.changes;
-                busy += play.used.cpu_ns as f64 / play.span.as_nanos() as f64 / plays as f64;
+                counts = counts.and(play.around.counts);
+                changes += play.around.changes;
+                busy += play.around.used.cpu_ns as f64 / play.around.span.as_nanos() as f64 / plays as f64;
+                stolen += play.around.stolen_ms as f64 / play.around.span.as_millis() as f64 / plays as f64;
                 late = late.max(play.late.us(0.99));
             }
             for (points, plays) in figures.iter_mut().zip(of_rate) {
@@ -241,7 +297,7 @@
             }
             told.push(format!(
                 "{rate:.0} a second: {} calls, {} not answered rightly, {} ran twice, {changes} changes, {:.3} of a core, \
-                 99 in 100 sent within {late:.0} us of their time",
+                 99 in 100 sent within {late:.0} us of their time, {stolen:.2} cores taken by the machine below",
                 counts.calls,
                 counts.calls - counts.right,
                 counts.twice + counts.repeated,
@@ -255,8 +311,12 @@
         let note = format!(
             "The quantile of calls through the balancer less the same quantile of calls that went directly in the same \
              play, each call's time counted from when it was to be sent. One caller's thread, which spins; the same \
-             {} stand-in upstreams, which answer at once; each pair of calls 1 to 3 ms apart in drawn order. {}",
+             {} stand-in upstreams, which answer at once; each pair of calls 1 to 3 ms apart in drawn order; {}. {}",
             self.arguments.upstreams,
+            match self.placement {
+                Placement::Anywhere => "the system chooses the cores",
+                _ => "the caller's thread on core 0, all else on the others (by taskset)",
+            },
             told.join(". ")
         );
         let slope = |name: String, what: String, points: Vec<Point>| Slope {
@@ -304,7 +364,7 @@
                 &play.relay,
                 "the same runtime, no HTTP, no decisions, no choice of connection".to_owned(),
             );
-            row("through the balancer", &play.through, format!("{:?}", play.counts));
+            row("through the balancer", &play.through, format!("{:?}", play.around.counts));
             row(
                 "of these on kept connections",
                 &play.kept,
@@ -313,7 +373,7 @@
             row(
                 "of these on new connections",
                 &play.new,
-                format!("{} opened in {:.0} s", play.opened, play.span.as_secs_f64()),
+                format!("{} opened in {:.0} s", play.around.opened, play.around.span.as_secs_f64()),
             );
             row(
                 "through less direct, pair by pair",
@@ -341,9 +401,10 @@
                     "added, 1900 upstreams",
                     Setup { upstreams: if self.arguments.common.small { 90 } else { 1900 }, ..plain },
                 ),
-                ("added, balancer held to core 7", Setup { core: Some(7), ..plain }),
+                ("added, balancer alone on a core", Setup { placement: Placement::Alone, ..plain }),
+                ("added, caller anywhere", Setup { placement: Placement::Anywhere, ..plain }),
             ] {
-                if self.arguments.common.small && setup.core.is_some() {
+                if self.arguments.common.small && setup.placement != plain.placement {
                     continue;
                 }
                 let play = self.play(&Setup { relay: false, ..setup })?;
@@ -379,12 +440,13 @@
     let calls = play.through.count().max(1) as f64;
     format!(
         "{:.0} us of a core a call, {:.3} of a core; woken {:.1} times a call, waited {:.1} us for a core each time; \
-         {} connections opened to upstreams",
-        play.used.cpu_ns as f64 / 1000.0 / calls,
-        play.used.cpu_ns as f64 / play.span.as_nanos() as f64,
-        play.used.slices as f64 / calls,
-        play.used.waited_ns as f64 / 1000.0 / play.used.slices.max(1) as f64,
-        play.opened,
+         {} connections opened to upstreams; {} ms of a core taken by the machine below",
+        play.around.used.cpu_ns as f64 / 1000.0 / calls,
+        play.around.used.cpu_ns as f64 / play.around.span.as_nanos() as f64,
+        play.around.used.slices as f64 / calls,
+        play.around.used.waited_ns as f64 / 1000.0 / play.around.used.slices.max(1) as f64,
+        play.around.opened,
+        play.around.stolen_ms,
     )
 }
 
@@ -396,15 +458,7 @@
     discovery.change(upstream, upstreams.entry(upstream, status, since));
 }
 
-fn sort_out(
-    calls: &[Call],
-    played: &[Played],
-    counts: Counts,
-    used: Usage,
-    span: Duration,
-    opened: u64,
-    changes: usize,
-) -> Result<Play, ScaleError> {
+fn sort_out(calls: &[Call], played: &[Played], around: Around) -> Result<Play, ScaleError> {
     // A call without its own answer has no latency; how many there are is told beside it.
     let right = || calls.iter().zip(played).filter(|(_, played)| played.is_right());
     let of = |way: usize| {
@@ -431,11 +485,7 @@
         late: Times::of(calls.iter().zip(played).map(|(call, played)| played.sent.saturating_sub(call.at)))?,
         kept: on(false)?,
         new: on(true)?,
-        counts,
-        used,
-        span,
-        opened,
-        changes,
+        around,
     })
 }
 
--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -699,6 +699,33 @@
         .ok_or_else(|| ScaleError::file(&path, "no VmRSS"))
 }
 
+/// Holds this thread, and all that it starts from now on, to these cores, as `taskset` writes them.
+///
+/// # Errors
+/// `taskset` is missing, or does not take them.
+pub fn hold_to(cores: &str) -> Result<(), ScaleError> {
+    let place = format!("holding a thread to cores {cores}");
+    let own = fs::read_link("/proc/thread-self").map_err(|cause| ScaleError::run(&place, cause))?;
+    let thread = own.file_name().unwrap_or_default();
+    let done = Command::new("taskset").args(["-c", "-p", cores]).arg(thread).output();
+    let done = done.map_err(|cause| ScaleError::run(&place, cause))?;
+    if done.status.success() {
+        Ok(())
+    } else {
+        Err(ScaleError::run(place, String::from_utf8_lossy(&done.stderr).trim()))
+    }
+}
+
+/// Time of a core that the machine under this one has taken for others since its start, in ms over all cores; 0 where
+/// the system does not tell.
+#[must_use]
+pub fn stolen_ms() -> u64 {
+    // Told in hundredths of a second, as the eighth figure of the first line.
+    let text = fs::read_to_string("/proc/stat").unwrap_or_default();
+    let stolen = text.lines().next().and_then(|line| line.split_whitespace().nth(8)?.parse::<u64>().ok());
+    stolen.unwrap_or(0) * 10
+}
+
 // --- Callers ---
 
 /// What a call may do to its upstream.
@@ -755,7 +782,7 @@
 /// A call that was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Played {
-    /// When it was sent, from the start of the play.
+    /// When its sending began, from the start of the play.
     pub sent: Duration,
     /// When its answer was whole.
     pub done: Duration,
@@ -854,6 +881,7 @@
         while let Some(call) = calls.get(next).filter(|call| call.at <= now) {
             let way = &ways[call.way];
             let text = request(first_id + next, call, way);
+            let sent = Instant::now().saturating_duration_since(zero);
             let line = loop {
                 let kept = idle[call.way].pop();
                 let is_kept = kept.is_some();
@@ -864,7 +892,6 @@
                 };
                 break (&stream).write_all(text.as_bytes()).is_ok().then_some(stream);
             };
-            let sent = Instant::now().saturating_duration_since(zero);
             played[next] = Played { sent, done: sent, end: End::Lost };
             if let Some(stream) = line {
                 busy.push(Line { stream, bytes: Vec::with_capacity(512), call: next, way: call.way });
