Check the plan as a whole, and write the first capacity page from it

Need: a page on which every figure follows from the plan or from a measurement, as it stands before any mechanism.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -6,6 +6,7 @@
 
 use thiserror::Error;
 
+pub mod arithmetic;
 pub mod control;
 pub mod decisions;
 pub mod depth;
@@ -13,6 +14,7 @@
 pub mod latency;
 pub mod page;
 pub mod plan;
+pub mod plots;
 pub mod process;
 pub mod real;
 pub mod slope;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use fennelhatch_scale::plan::{Plan, Reading};
+use fennelhatch_scale::plan::Plan;
 use fennelhatch_scale::{
     ScaleError, control, decisions, depth, hollow, latency, page, process, real, sockets,
 };
@@ -51,23 +51,7 @@
     let plan = Plan::read(&arguments.plan)?;
     match &arguments.command {
         Command::Plan => {
-            for reading in [Reading::Front, Reading::Hops] {
-                println!(
-                    "{reading:?}: {:.0} calls a second over all hops, {:.0} at the front; a balancer {:.0}, the busiest {:.0}",
-                    plan.hops_per_s(reading),
-                    plan.front_per_s(reading),
-                    plan.mean_rate(reading),
-                    plan.busiest_rate(reading),
-                );
-            }
-            let sizes = plan.service_sizes();
-            println!(
-                "services: {} of {:?} ... {:?} upstreams",
-                sizes.len(),
-                &sizes[..sizes.len().min(5)],
-                sizes.last()
-            );
-            println!("whole list: {} bytes", plan.whole_list_bytes());
+            page::print_plan(&plan);
             Ok(())
         }
         Command::Decisions(arguments) => decisions::run(arguments, &plan),
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -1,5 +1,6 @@
 //! The plan of the fleet to come: figures with where they are from, checked as a whole, and what follows from them.
 
+use std::fmt::Debug;
 use std::fs;
 use std::path::Path;
 
@@ -32,6 +33,34 @@
     pub why: String,
 }
 
+/// A figure of the plan as it is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// Its place in the file.
+    pub place: String,
+    /// Its value.
+    pub value: String,
+    /// Where it is from.
+    pub from: Source,
+    /// What it counts.
+    pub unit: String,
+    /// Why this much.
+    pub why: String,
+}
+
+impl<T: Debug> Figure<T> {
+    fn told(&self, section: &str, name: &str) -> Told {
+        let value = format!("{:?}", self.value);
+        Told {
+            place: format!("{section}.{name}"),
+            value: value.strip_suffix(".0").unwrap_or(&value).to_owned(),
+            from: self.from,
+            unit: self.unit.clone(),
+            why: self.why.clone(),
+        }
+    }
+}
+
 macro_rules! section {
     ($(#[$about:meta])* $name:ident { $($(#[$doc:meta])* $field:ident: $type:ty),+ $(,)? }) => {
         $(#[$about])*
@@ -40,6 +69,12 @@
         pub struct $name {
             $($(#[$doc])* pub $field: Figure<$type>,)+
         }
+
+        impl $name {
+            fn told(&self, section: &str, told: &mut Vec<Told>) {
+                $(told.push(self.$field.told(section, stringify!($field)));)+
+            }
+        }
     };
 }
 
@@ -104,6 +139,8 @@
         added_ms: f64,
         /// ...for this part of the calls.
         added_quantile: f64,
+        /// What a service can carry, in its usual load.
+        headroom: f64,
     }
 }
 
@@ -126,6 +163,12 @@
         entry_bytes: usize,
         /// Seconds between signs of life.
         beat_s: f64,
+        /// Lines that the replacement of an upstream makes.
+        lines_per_replacement: f64,
+        /// Lines that the failure of an upstream makes, with its return.
+        lines_per_failure: f64,
+        /// Seconds between renewals by a registrant.
+        renew_s: f64,
     }
 }
 
@@ -200,6 +243,8 @@
         region_cuts_per_year: f64,
         /// Seconds of the cut that is planned for.
         region_cut_s: f64,
+        /// Seconds in which everything is replaced.
+        replace_all_s: f64,
     }
 }
 
@@ -227,6 +272,9 @@
     pub failures: Failures,
 }
 
+/// Upstreams of a plan at most, so that a slip of the pen takes no machine's memory.
+const UPSTREAMS_MOST: usize = 1_000_000;
+
 /// How "calls a second" is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reading {
@@ -259,6 +307,22 @@
         if faults.is_empty() { Ok(plan) } else { Err(ScaleError::Plan(faults)) }
     }
 
+    /// All its figures, in the order of the file.
+    #[must_use]
+    pub fn told(&self) -> Vec<Told> {
+        let mut told = Vec::new();
+        self.fleet.told("fleet", &mut told);
+        self.graph.told("graph", &mut told);
+        self.traffic.told("traffic", &mut told);
+        self.network.told("network", &mut told);
+        self.list.told("list", &mut told);
+        self.configuration.told("configuration", &mut told);
+        self.budget.told("budget", &mut told);
+        self.deal.told("deal", &mut told);
+        self.failures.told("failures", &mut told);
+        told
+    }
+
     fn faults(&self) -> Vec<String> {
         let Self { fleet, graph, traffic, network, list, configuration, budget, deal, failures } = self;
         let mut faults = Vec::new();
@@ -295,13 +359,23 @@
             "as many entries as fleet.regions, 1 in all",
         );
         want((0.0..=3.0).contains(&fleet.size_skew.value), "fleet.size_skew", "0 to 3");
-        want(fleet.machines_per_rack.value >= 1, "fleet.machines_per_rack", "one at least");
+        want(
+            (1..=fleet.upstreams.value).contains(&fleet.machines_per_rack.value),
+            "fleet.machines_per_rack",
+            "1 to fleet.upstreams",
+        );
+        want(fleet.upstreams.value <= UPSTREAMS_MOST, "fleet.upstreams", "1000000 at most");
         want(graph.depth.value >= 1, "graph.depth", "one at least");
         want(
             graph.services_by_depth.value.len() == graph.depth.value && whole(&graph.services_by_depth.value),
             "graph.services_by_depth",
             "as many entries as graph.depth, 1 in all",
         );
+        want(
+            graph.destinations_most.value < fleet.services.value.max(2),
+            "graph.destinations_most",
+            "under fleet.services",
+        );
         want(
             (1.0..=graph.destinations_most.value as f64).contains(&graph.destinations_mean.value),
             "graph.destinations_mean",
@@ -316,6 +390,17 @@
         want(traffic.aim_s.value <= traffic.deadline_s.value, "traffic.aim_s", "not over traffic.deadline_s");
         want(traffic.attempts.value >= 1, "traffic.attempts", "one at least");
         want(traffic.tenants.value >= 1, "traffic.tenants", "one at least");
+        want(traffic.headroom.value >= 1.0, "traffic.headroom", "not under 1");
+        want(
+            self.tiers_over_mean().into_iter().all(|tier| tier <= traffic.busiest_over_mean.value),
+            "traffic.busiest_over_mean",
+            "not under the mean of a tier, by graph.services_by_depth and the calls that it gets",
+        );
+        want(
+            configuration.peak_per_minute.value >= configuration.changes_per_day.value / 1440.0,
+            "configuration.peak_per_minute",
+            "not under the mean minute of configuration.changes_per_day",
+        );
         want(list.entry_bytes.value >= 1, "list.entry_bytes", "one at least");
         want(
             configuration.scope_shares.value.len() == 3 && whole(&configuration.scope_shares.value),
@@ -351,6 +436,9 @@
             ("network.region_ms", network.region_ms.value),
             ("network.far_ms", network.far_ms.value),
             ("list.beat_s", list.beat_s.value),
+            ("list.lines_per_replacement", list.lines_per_replacement.value),
+            ("list.lines_per_failure", list.lines_per_failure.value),
+            ("list.renew_s", list.renew_s.value),
             ("configuration.changes_per_day", configuration.changes_per_day.value),
             ("configuration.in_force_s", configuration.in_force_s.value),
             ("configuration.peak_per_minute", configuration.peak_per_minute.value),
@@ -367,6 +455,7 @@
             ("failures.zones_per_year", failures.zones_per_year.value),
             ("failures.region_cuts_per_year", failures.region_cuts_per_year.value),
             ("failures.region_cut_s", failures.region_cut_s.value),
+            ("failures.replace_all_s", failures.replace_all_s.value),
         ] {
             want(value.is_finite() && value > 0.0, place, "above 0");
         }
@@ -403,6 +492,87 @@
         self.mean_rate(reading) * self.traffic.busiest_over_mean.value
     }
 
+    /// What an upstream of a tier carries, in the mean of all: of each tier where all calls go to the full depth, then of
+    /// the front where the rate is over all hops.
+    fn tiers_over_mean(&self) -> Vec<f64> {
+        let Graph { depth, services_by_depth, hops_per_call, .. } = &self.graph;
+        let deep = services_by_depth.value.iter().map(|share| 1.0 / (depth.value as f64 * share.max(1e-9)));
+        let front =
+            services_by_depth.value.first().map(|share| 1.0 / (hops_per_call.value * share.max(1e-9)));
+        deep.chain(front).collect()
+    }
+
+    /// Upstreams of the services at the front.
+    #[must_use]
+    pub fn fronts(&self) -> f64 {
+        let share = self.graph.services_by_depth.value.first().copied().unwrap_or(1.0);
+        (self.fleet.upstreams.value as f64 * share).max(1.0)
+    }
+
+    /// Upstreams of the largest region.
+    #[must_use]
+    pub fn largest_region(&self) -> f64 {
+        self.fleet.upstreams.value as f64 * self.fleet.region_shares.value.iter().copied().fold(0.0, f64::max)
+    }
+
+    /// Upstreams of the largest zone: zones of a region are alike.
+    #[must_use]
+    pub fn largest_zone(&self) -> f64 {
+        let regions = self.fleet.region_shares.value.iter().zip(&self.fleet.zones_by_region.value);
+        let shares = regions.map(|(share, &zones)| share / zones.max(1) as f64);
+        self.fleet.upstreams.value as f64 * shares.fold(0.0, f64::max)
+    }
+
+    /// Bytes of all documents: the fleet's, each region's, each service's.
+    #[must_use]
+    pub fn documents_bytes(&self) -> f64 {
+        let Configuration { fleet_bytes, region_bytes, service_bytes, .. } = &self.configuration;
+        (fleet_bytes.value
+            + self.fleet.regions.value * region_bytes.value
+            + self.fleet.services.value * service_bytes.value) as f64
+    }
+
+    /// Bytes of the documents that one balancer uses.
+    #[must_use]
+    pub fn own_documents_bytes(&self) -> f64 {
+        let Configuration { fleet_bytes, region_bytes, service_bytes, .. } = &self.configuration;
+        (fleet_bytes.value + region_bytes.value + service_bytes.value) as f64
+    }
+
+    /// Bytes of the document of a change, on average.
+    #[must_use]
+    pub fn change_bytes(&self) -> f64 {
+        let Configuration { scope_shares, fleet_bytes, region_bytes, service_bytes, .. } =
+            &self.configuration;
+        let bytes = [fleet_bytes.value, region_bytes.value, service_bytes.value];
+        scope_shares.value.iter().zip(bytes).map(|(share, bytes)| share * bytes as f64).sum()
+    }
+
+    /// Part of the changes, and their bytes for one change, that concern one balancer: regions and services change alike.
+    #[must_use]
+    pub fn own_change(&self) -> (f64, f64) {
+        let Configuration { scope_shares, fleet_bytes, region_bytes, service_bytes, .. } =
+            &self.configuration;
+        let one_of = [1.0, self.fleet.regions.value as f64, self.fleet.services.value as f64];
+        let bytes = [fleet_bytes.value, region_bytes.value, service_bytes.value];
+        let parts = scope_shares.value.iter().zip(one_of).map(|(share, all)| share / all);
+        let lengths = parts.clone().zip(bytes).map(|(part, bytes)| part * bytes as f64);
+        (parts.sum(), lengths.sum())
+    }
+
+    /// Balancers that a change has to be told to, on average.
+    #[must_use]
+    pub fn told_by_change(&self) -> f64 {
+        self.own_change().0 * self.fleet.upstreams.value as f64
+    }
+
+    /// How long a call is held that meets no trouble, in seconds: all tiers work, and each has its way there and back.
+    #[must_use]
+    pub fn held_s(&self) -> f64 {
+        self.graph.depth.value as f64 * (self.traffic.work_ms.value + 2.0 * self.network.region_ms.value)
+            / 1000.0
+    }
+
     /// Upstreams of each service, the largest first: skewed, one at least each, and all of them in sum.
     #[must_use]
     pub fn service_sizes(&self) -> Vec<usize> {
--- /dev/null
+++ b/crates/scale/src/plots.rs
@@ -0,0 +1,79 @@
+//! Plots of slopes: points with their spread and the fit, as SVG whose bytes depend on nothing else.
+
+use plotters::prelude::*;
+
+use crate::ScaleError;
+use crate::slope::Slope;
+
+/// Steps in which a fit is drawn.
+const STEPS: u32 = 64;
+
+/// The plot of a slope, both axes by powers of ten where all figures allow it.
+///
+/// # Errors
+/// The slope has no points that could be drawn.
+pub fn svg(slope: &Slope) -> Result<String, ScaleError> {
+    let fail = |cause: &dyn std::fmt::Display| ScaleError::run(format!("plot of {}", slope.name), cause);
+    let points = &slope.points;
+    let figures = || points.iter().flat_map(|point| [point.x, point.y, point.low, point.high]);
+    if points.is_empty() || figures().any(|figure| !figure.is_finite()) {
+        return Err(fail(&"no points, or not finite"));
+    }
+    let range = |figures: &mut dyn Iterator<Item = f64>| {
+        figures.fold((f64::MAX, f64::MIN), |(low, high), figure| (low.min(figure), high.max(figure)))
+    };
+    let (x_low, x_high) = range(&mut points.iter().map(|point| point.x));
+    let (y_low, y_high) = range(&mut points.iter().flat_map(|point| [point.low, point.high]));
+    let fit: Vec<(f64, f64)> = slope.fit.map_or_else(Vec::new, |fit| {
+        let at = |step: u32| {
+            let part = f64::from(step) / f64::from(STEPS);
+            let x = if x_low > 0.0 {
+                x_low * (x_high / x_low).powf(part)
+            } else {
+                x_low + (x_high - x_low) * part
+            };
+            (x, fit.at(x))
+        };
+        (0..=STEPS).map(at).collect()
+    });
+    let mut text = String::new();
+    {
+        let area = SVGBackend::with_string(&mut text, (640, 400)).into_drawing_area();
+        area.fill(&WHITE).map_err(|cause| fail(&cause))?;
+        let mut builder = ChartBuilder::on(&area);
+        builder
+            .caption(&slope.name, ("sans-serif", 16))
+            .margin(12)
+            .x_label_area_size(40)
+            .y_label_area_size(80);
+        macro_rules! draw {
+            ($x:expr, $y:expr) => {{
+                let mut chart = builder.build_cartesian_2d($x, $y).map_err(|cause| fail(&cause))?;
+                chart
+                    .configure_mesh()
+                    .x_desc(&slope.x_unit)
+                    .y_desc(&slope.y_unit)
+                    .label_style(("sans-serif", 11))
+                    .draw()
+                    .map_err(|cause| fail(&cause))?;
+                let inside = fit.iter().copied().filter(|&(_, y)| y.is_finite());
+                chart.draw_series(LineSeries::new(inside, &BLUE)).map_err(|cause| fail(&cause))?;
+                let bars = points.iter().map(|point| {
+                    PathElement::new(vec![(point.x, point.low), (point.x, point.high)], BLACK.stroke_width(2))
+                });
+                chart.draw_series(bars).map_err(|cause| fail(&cause))?;
+                let middles = points.iter().map(|point| Circle::new((point.x, point.y), 3, BLACK.filled()));
+                chart.draw_series(middles).map_err(|cause| fail(&cause))?;
+            }};
+        }
+        if x_low > 0.0 && y_low > 0.0 && x_high > x_low {
+            draw!((x_low / 1.2..x_high * 1.2).log_scale(), (y_low / 1.3..y_high * 1.3).log_scale());
+        } else {
+            let wide = ((x_high - x_low) * 0.05).max(1e-9);
+            let high = ((y_high - y_low) * 0.1).max(1e-9);
+            draw!((x_low - wide)..(x_high + wide), (y_low - high)..(y_high + high));
+        }
+        area.present().map_err(|cause| fail(&cause))?;
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/crates/scale/tests/page.rs
@@ -0,0 +1,303 @@
+//! The capacity page: what stands on it is what the plan and the measurements give, and no figure is made up.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use fennelhatch_scale::arithmetic::{Basis, Cost, Need, Occasion, Slopes, needs};
+use fennelhatch_scale::page::{self, Arguments, blocks, filled, ranking, show};
+use fennelhatch_scale::plan::Plan;
+use fennelhatch_scale::plots;
+use fennelhatch_scale::slope::{Fit, Point, Slope};
+
+fn tree() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn plan() -> Plan {
+    Plan::parse(include_str!("../plan.toml")).unwrap()
+}
+
+fn slope(name: &str, sizes: &[f64], of: impl Fn(f64) -> f64) -> Slope {
+    let points: Vec<Point> =
+        sizes.iter().map(|&x| Point { x, y: of(x), low: of(x) * 0.9, high: of(x) * 1.1 }).collect();
+    Slope {
+        name: name.into(),
+        what: "A test.".into(),
+        x_unit: "things".into(),
+        y_unit: "us".into(),
+        command: format!("target/release/scale {name}"),
+        commit: "0".into(),
+        plays: 3,
+        fit: Fit::through(&points),
+        points,
+        note: String::new(),
+    }
+}
+
+fn slopes(all: impl IntoIterator<Item = Slope>) -> Slopes {
+    Slopes(all.into_iter().map(|slope| (slope.name.clone(), slope)).collect())
+}
+
+/// A folder of its own, removed again.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("fennelhatch-page-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(path.join("slopes")).unwrap();
+        Self(path)
+    }
+
+    fn arguments(&self, check: bool) -> Arguments {
+        Arguments { check, out: self.0.clone(), from: self.0.clone(), tree: self.0.clone() }
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn empty_page(plan: &Plan) -> String {
+    let blocks = blocks(plan, &Slopes::default(), &[], Path::new("."));
+    let parts =
+        blocks.keys().map(|name| format!("by hand, {name}\n<!-- generated: {name} -->\n<!-- end -->\n"));
+    parts.collect::<String>() + "the end\n"
+}
+
+fn day(plan: &Plan) -> Occasion {
+    Occasion::all(plan).swap_remove(0)
+}
+
+fn need(plan: &Plan, on: &Occasion, role: &str, cost: Cost) -> Need {
+    let all = needs(plan, on, &tree());
+    all.into_iter().find(|need| need.role == role && need.cost == cost).unwrap()
+}
+
+#[test]
+fn the_page_is_what_the_plan_and_the_measurements_give() {
+    let arguments =
+        Arguments { check: true, out: tree().join("docs"), from: tree().join("crates/scale"), tree: tree() };
+    page::run(&arguments, &plan()).unwrap();
+}
+
+#[test]
+fn a_page_that_differs_names_its_first_block() {
+    let (folder, plan) = (Folder::new("differs"), plan());
+    let path = folder.0.join("CAPACITY.md");
+    fs::write(&path, empty_page(&plan)).unwrap();
+    slope("latency.added_p99_us_by_rate", &[50.0, 5000.0], |x| x).write(&folder.0.join("slopes")).unwrap();
+    let error = |place: &str| {
+        let error = page::run(&folder.arguments(true), &plan).unwrap_err().to_string();
+        assert!(error.contains(place), "{place}: {error}");
+    };
+    error("CAPACITY.md, block day");
+    page::run(&folder.arguments(false), &plan).unwrap();
+    page::run(&folder.arguments(true), &plan).unwrap();
+    let whole = fs::read_to_string(&path).unwrap();
+    assert!(whole.contains("by hand, plan\n") && whole.ends_with("the end\n"));
+
+    let edited = whole.replace("`fleet.upstreams` | 1900", "`fleet.upstreams` | 1901");
+    fs::write(&path, edited.replace("1,680,000", "1,680,001")).unwrap();
+    error("CAPACITY.md, block derived");
+    fs::write(&path, edited).unwrap();
+    error("CAPACITY.md, block plan");
+    fs::write(&path, &whole).unwrap();
+    let plot = folder.0.join("capacity/latency.added_p99_us_by_rate.svg");
+    let svg = fs::read_to_string(&plot).unwrap();
+    fs::write(&plot, svg.replacen("width", "height", 1)).unwrap();
+    error("latency.added_p99_us_by_rate.svg");
+    fs::write(&plot, svg).unwrap();
+    fs::write(folder.0.join("capacity/old.svg"), "").unwrap();
+    error("old.svg");
+    page::run(&folder.arguments(false), &plan).unwrap();
+    page::run(&folder.arguments(true), &plan).unwrap();
+    assert_eq!(fs::read_to_string(&path).unwrap(), whole);
+}
+
+#[test]
+fn a_changed_measurement_makes_the_page_differ() {
+    let (folder, plan) = (Folder::new("measured"), plan());
+    fs::write(folder.0.join("CAPACITY.md"), empty_page(&plan)).unwrap();
+    let measured = |each: f64| {
+        slope("control.change_last_ms_by_watchers", &[100.0, 300.0, 1000.0, 1900.0], |x| each * x)
+            .write(&folder.0.join("slopes"))
+            .unwrap();
+    };
+    measured(1.0);
+    page::run(&folder.arguments(false), &plan).unwrap();
+    measured(1.1);
+    page::run(&folder.arguments(true), &plan).unwrap_err();
+}
+
+#[test]
+fn markers_that_do_not_fit_are_named() {
+    let blocks = BTreeMap::from([("one", "text".to_owned())]);
+    for (page, says) in [
+        ("nothing", "block one: no marker"),
+        ("<!-- generated: two -->\n<!-- end -->", "no block is named two"),
+        ("<!-- generated: one -->\n", "block one: no `<!-- end -->`"),
+        ("<!-- generated: one", "a marker without its end"),
+        (
+            "<!-- generated: one --><!-- end --><!-- generated: one --><!-- end -->",
+            "block one: a second marker",
+        ),
+    ] {
+        let error = filled(page, &blocks).unwrap_err();
+        assert!(error.starts_with(says), "{page}: {error}");
+    }
+    let page = "a\n<!-- generated: one -->old<!-- end -->\nb";
+    assert_eq!(filled(page, &blocks).unwrap(), "a\n<!-- generated: one -->\ntext\n<!-- end -->\nb");
+}
+
+#[test]
+fn what_is_not_measured_has_no_figure() {
+    let plan = plan();
+    let need = need(&plan, &day(&plan), "operator who publishes", Cost::Time);
+    let figure = need.figure(&Slopes::default());
+    assert_eq!((figure.value, figure.ratio), (None, None));
+    assert_eq!(figure.basis, Basis::NotMeasured(vec!["control.change_last_ms_by_watchers"]));
+}
+
+#[test]
+fn a_figure_past_the_largest_size_says_how_far() {
+    let plan = plan();
+    let need = need(&plan, &day(&plan), "operator who publishes", Cost::Time);
+    let of = |sizes: &[f64]| {
+        need.figure(&slopes([slope("control.change_last_ms_by_watchers", sizes, |x| 10.0 + x)]))
+    };
+    let within = of(&[100.0, 300.0, 1000.0, 1900.0]);
+    assert!((within.value.unwrap() - 1.91).abs() < 1e-9 && within.basis == Basis::Measured, "{within:?}");
+    let past = of(&[10.0, 30.0, 100.0, 190.0]);
+    assert_eq!(past.basis, Basis::Extrapolated(10.0));
+    assert!((past.value.unwrap() - 1.91).abs() < 1e-6 && (past.ratio.unwrap() - 1.91 / 13.0).abs() < 1e-6);
+}
+
+#[test]
+fn between_two_sizes_the_points_count_and_not_the_fit() {
+    let bent = slopes([slope("x", &[10.0, 20.0, 200.0], |x| if x > 15.0 { 100.0 } else { 1.0 })]);
+    assert_eq!(bent.at("x", 15.0), Some((50.5, 1.0)));
+    assert_eq!(bent.at("x", 200.0), Some((100.0, 1.0)));
+    assert_eq!(bent.at("y", 200.0), None);
+}
+
+#[test]
+fn every_role_has_a_row_of_each_cost_on_every_occasion() {
+    let plan = plan();
+    let occasions = Occasion::all(&plan);
+    assert_eq!(occasions.len(), 10);
+    let first = needs(&plan, &occasions[0], &tree());
+    for role in [
+        "balancer, data path (rate at the front)",
+        "balancer, data path (rate over all hops)",
+        "balancer, its list client",
+        "balancer, its configuration",
+        "balancer, all its control",
+        "control: origin",
+        "control: standby of the origin",
+        "control: relay of a region",
+        "control: relay of a zone",
+        "control: lists, on the zone relays' machines",
+        "registrant",
+        "front (rate at the front)",
+        "front (rate over all hops)",
+        "operator who publishes",
+    ] {
+        for cost in [Cost::State, Cost::Messages, Cost::Processor, Cost::Memory] {
+            let of_both = first.iter().filter(|need| need.role == role && need.cost == cost);
+            assert_eq!(of_both.count(), 1, "{role}, {cost:?}");
+        }
+    }
+    let kinds = |needs: &[Need]| needs.iter().map(|need| (need.role, need.cost)).collect::<Vec<_>>();
+    for occasion in &occasions {
+        assert_eq!(kinds(&needs(&plan, occasion, &tree())), kinds(&first), "{}", occasion.name);
+    }
+}
+
+#[test]
+fn a_whole_list_and_the_documents_pass_the_bytes_of_a_return() {
+    let plan = plan();
+    let all = Occasion::all(&plan);
+    let on = all.iter().find(|on| on.name == "all balancers reconnecting").unwrap();
+    let figure = need(&plan, on, "balancer, all its control", Cost::Messages).figure(&Slopes::default());
+    let bytes = (285_000.0 + 12_288.0) / 13.0;
+    assert!((figure.value.unwrap() - bytes).abs() < 20.0 && figure.ratio.unwrap() > 1.0, "{figure:?}");
+    assert_eq!(figure.basis, Basis::Reckoned);
+}
+
+#[test]
+fn what_nothing_carries_is_missing_first_and_then_the_largest_ratio() {
+    let (plan, tree) = (plan(), Folder::new("ranking"));
+    let rows = || -> Vec<String> {
+        let table = ranking(&plan, &Slopes::default(), &tree.0);
+        table.lines().skip(2).map(str::to_owned).collect()
+    };
+    let has = |file: &str, text: &str| {
+        let path = tree.0.join(file);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, text).unwrap();
+    };
+    has("src/decide.rs", "pub struct Balancer;");
+    has("dahliahead/src/discovery.rs", "pub async fn watch(");
+    let today = rows();
+    assert!(today[0].contains("a change of configuration") && today[0].contains("none today"), "{today:#?}");
+    assert!(today[0].contains("138,904 restarts"), "{today:#?}");
+    assert!(today[1..].iter().all(|row| !row.contains("none today")), "{today:#?}");
+    assert!(today[1].contains("repeats stay bounded"), "{today:#?}");
+
+    has("src/interface.rs", "Reconfigured");
+    has("crates/distribution/src/origin.rs", "pub struct Origin");
+    has("crates/distribution/src/host/relay.rs", "pub fn run");
+    has("crates/distribution/src/main.rs", "Publish");
+    let then = rows();
+    assert!(then.iter().all(|row| !row.contains("none today") && !row.contains("restarts")), "{then:#?}");
+    assert!(then[0].contains("repeats stay bounded"), "{then:#?}");
+}
+
+#[test]
+fn figures_keep_three_digits() {
+    for (value, text) in [
+        (0.0, "0"),
+        (0.023, "0.023"),
+        (0.650_4, "0.65"),
+        (1.0, "1"),
+        (1.996, "2"),
+        (13.04, "13"),
+        (73.68, "73.7"),
+        (884.2, "884"),
+        (1_680_000.0, "1,680,000"),
+        (999.96, "1,000"),
+        (-1234.0, "-1,234"),
+        (0.000_012_3, "1.2e-5"),
+    ] {
+        assert_eq!(show(value), text);
+    }
+}
+
+#[test]
+fn a_plot_is_the_same_to_the_byte_and_shows_points_and_fit() {
+    let by_powers = slope("a.b_by_c", &[6.0, 60.0, 600.0, 1900.0], |x| 3.0 + x);
+    let svg = plots::svg(&by_powers).unwrap();
+    assert_eq!(svg, plots::svg(&by_powers).unwrap());
+    assert!(svg.contains("a.b_by_c") && svg.contains("<polyline"));
+    assert_eq!(svg.matches("<circle").count(), 4);
+    let from_zero = slope("a.b_by_d", &[0.0, 1.0, 2.0, 3.0], |x| x);
+    assert_eq!(plots::svg(&from_zero).unwrap().matches("<circle").count(), 4);
+    let one = slope("a.b_by_e", &[1.0], |x| x);
+    assert!(plots::svg(&one).unwrap().contains("<circle"));
+    let error = plots::svg(&slope("a.b_by_f", &[], |x| x)).unwrap_err().to_string();
+    assert!(error.contains("plot of a.b_by_f"), "{error}");
+}
+
+#[test]
+fn a_slope_under_another_name_is_refused() {
+    let folder = Folder::new("name");
+    let slopes = folder.0.join("slopes");
+    slope("a.b_by_c", &[1.0, 2.0], |x| x).write(&slopes).unwrap();
+    fs::rename(slopes.join("a.b_by_c.json"), slopes.join("a.b_by_d.json")).unwrap();
+    let error = Slopes::read(&slopes).unwrap_err().to_string();
+    assert!(error.contains("a.b_by_d.json: it holds the slope a.b_by_c"), "{error}");
+}
