Read measured slopes into the capacity page, and say how far past what was played

Need: rows that add up what control costs on the wire and in processor time, from slopes read at a size, beyond the smallest size or as one more. Change: a slope is read in three ways; a figure scaled by a rate that was not played counts as extrapolated; what a missing slope leaves is reckoned from the plan where arithmetic has it, and not measured otherwise.

--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -8,10 +8,10 @@
 use crate::plan::{Plan, Reading};
 use crate::slope::Slope;
 
-/// How often a balancer's decisions look around by themselves, a second (`SWEEP_S` of `src/decide.rs`).
-const SWEEPS_PER_S: f64 = 5.0;
 /// Bytes of an empty line of a watch as one chunk of HTTP/1.1.
 const BEAT_BYTES: f64 = 6.0;
+/// Memory is measured in KiB, and budgets are in MB.
+const MB_PER_KIB: f64 = 1.024e-3;
 
 /// What a row counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -186,8 +186,11 @@
                 ..back.clone()
             },
             Self {
-                name: "60 changes in a minute",
-                what: format!("{minute} a second, the worst for all: every one of the fleet's document"),
+                name: "the busiest minute of changes",
+                what: format!(
+                    "{} changes in a minute, the worst for all: each of the fleet's document",
+                    plan.configuration.peak_per_minute.value
+                ),
                 changes: minute,
                 lasts_s: 60.0,
                 own: 1.0,
@@ -301,13 +304,24 @@
     }
 }
 
+/// How a slope is read.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Read {
+    /// The cost at a size.
+    At(f64),
+    /// The cost at a size, less that at the smallest size played.
+    Beyond(f64),
+    /// The cost of one more, by the fit.
+    OneMore,
+}
+
 /// A measured part of a need.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Term {
     /// The slope's name.
     pub slope: &'static str,
-    /// The size at which it is read.
-    pub at: f64,
+    /// How it is read.
+    pub read: Read,
     /// How often it counts, with the units changed.
     pub times: f64,
 }
@@ -327,8 +341,10 @@
     pub plain: f64,
     /// What has to be measured.
     pub terms: Vec<Term>,
-    /// What arithmetic alone bounds it by, where a slope is missing.
-    pub bound: Option<f64>,
+    /// How many times past what was played it lies in another way than by its slopes' sizes, such as by rate; 1 within.
+    pub past: f64,
+    /// What arithmetic on the plan gives instead, where a slope is missing.
+    pub instead: Option<f64>,
     /// What it may be; `None` where nobody gave one.
     pub budget: Option<f64>,
     /// What carries it.
@@ -340,16 +356,14 @@
 /// How a figure was had.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Basis {
-    /// From the plan by arithmetic.
-    Reckoned,
-    /// A bound by arithmetic, in place of slopes that are missing.
-    Bound(Vec<&'static str>),
+    /// From the plan by arithmetic, in place of these slopes if any is missing.
+    Reckoned(Vec<String>),
     /// Between measured sizes.
     Measured,
     /// By fits, this many times past the largest size played.
     Extrapolated(f64),
     /// These slopes are missing.
-    NotMeasured(Vec<&'static str>),
+    NotMeasured(Vec<String>),
 }
 
 /// A figure with its basis.
@@ -404,6 +418,26 @@
             .fit
             .map(|fit| (fit.at(x).max(0.0), if x > largest && largest > 0.0 { x / largest } else { 1.0 }))
     }
+
+    fn read_as(&self, name: &str, read: Read) -> Option<(f64, f64)> {
+        match read {
+            Read::At(x) => self.at(name, x),
+            Read::Beyond(x) => {
+                let smallest = self.0.get(name)?.points.iter().map(|point| point.x).fold(f64::MAX, f64::min);
+                let (least, _) = self.at(name, smallest)?;
+                self.at(name, x.max(smallest)).map(|(cost, past)| (cost - least, past))
+            }
+            Read::OneMore => Some((self.0.get(name)?.fit?.each.max(0.0), 1.0)),
+        }
+    }
+
+    /// What to say of a slope that gave no figure.
+    fn gap(&self, name: &str) -> String {
+        match self.0.get(name) {
+            None => name.to_owned(),
+            Some(slope) => format!("{name} (played up to {}, and no straight line fits it)", slope.largest()),
+        }
+    }
 }
 
 /// The JSON files of a folder, in the order of their names; none where it is missing.
@@ -428,22 +462,27 @@
     #[must_use]
     pub fn figure(&self, slopes: &Slopes) -> Figure {
         let mut value = self.plain;
-        let mut past: f64 = 1.0;
-        let mut missing = Vec::new();
-        for &Term { slope, at, times } in &self.terms {
-            match slopes.at(slope, at) {
+        let mut past = self.past;
+        let mut missing: Vec<String> = Vec::new();
+        for &Term { slope, read, times } in &self.terms {
+            match slopes.read_as(slope, read) {
                 Some((cost, times_past)) => {
                     value += cost * times;
                     past = past.max(times_past);
                 }
-                None => missing.push(slope),
+                None => {
+                    let gap = slopes.gap(slope);
+                    if !missing.contains(&gap) {
+                        missing.push(gap);
+                    }
+                }
             }
         }
-        let (value, basis) = match (missing.is_empty(), self.bound) {
-            (true, _) if self.terms.is_empty() => (Some(value), Basis::Reckoned),
+        let (value, basis) = match (missing.is_empty(), self.instead) {
+            (true, _) if self.terms.is_empty() => (Some(value), Basis::Reckoned(Vec::new())),
             (true, _) if past > 1.0 => (Some(value), Basis::Extrapolated(past)),
             (true, _) => (Some(value), Basis::Measured),
-            (false, Some(bound)) => (Some(bound), Basis::Bound(missing)),
+            (false, Some(instead)) => (Some(instead), Basis::Reckoned(missing)),
             (false, None) => (None, Basis::NotMeasured(missing)),
         };
         let ratio = value.zip(self.budget).map(|(value, budget)| value / budget);
@@ -451,6 +490,9 @@
     }
 }
 
+/// A slope, how it is read, and how often it counts.
+type Part = (&'static str, Read, f64);
+
 /// Makes the rows of one role.
 struct Role<'a> {
     name: &'static str,
@@ -466,10 +508,12 @@
         formula: &'static str,
         unit: &'static str,
         plain: f64,
-        terms: &[(&'static str, f64, f64)],
+        terms: &[Part],
         budget: Option<f64>,
     ) -> &mut Need {
-        let terms = terms.iter().map(|&(slope, at, times)| Term { slope, at, times }).collect();
+        let terms = terms.iter().map(|&(slope, read, times)| Term { slope, read, times });
+        // What counts for nothing on this occasion need not be measured for it.
+        let terms = terms.filter(|term| term.times != 0.0).collect();
         self.rows.push(Need {
             role: self.name,
             cost,
@@ -477,7 +521,8 @@
             unit,
             plain,
             terms,
-            bound: None,
+            past: 1.0,
+            instead: None,
             budget,
             mechanism: self.mechanism,
             requirement: self.requirement,
@@ -531,30 +576,28 @@
     role.row(Cost::Messages, "calls a second", "calls/s", rate, &[], None);
     role.row(
         Cost::Processor,
-        "calls/s x time of one at all upstreams + time at rest; budget: the one thread that it has",
+        "calls/s x time of one at all upstreams, which was played at the mean rate at the front; budget: its one thread",
         "cores",
         0.0,
-        &[
-            ("process.request_us_by_upstreams", upstreams, rate / 1e6),
-            ("process.idle_core_by_upstreams", upstreams, 1.0),
-        ],
+        &[("process.request_us_by_upstreams", Read::At(upstreams), rate / 1e6)],
         Some(1.0),
-    );
+    )
+    .past = (rate / plan.mean_rate(Reading::Front)).max(1.0);
     role.row(
         Cost::Memory,
         "process at all upstreams + tenants + calls held; budget: that of control, as none is given",
         "MB",
         0.0,
         &[
-            ("process.memory_kb_by_upstreams", upstreams, 1e-3),
-            ("decisions.bytes_by_tenants", tenants, 1e-6),
-            ("decisions.bytes_by_in_flight", held, 1e-6),
+            ("process.memory_loaded_kb_by_upstreams", Read::At(upstreams), MB_PER_KIB),
+            ("decisions.bytes_by_tenants", Read::Beyond(tenants), 1e-6),
+            ("decisions.bytes_by_in_flight", Read::Beyond(held), 1e-6),
         ],
         Some(memory),
     );
     role.requirement = Requirement::Added;
     let slope = match on.name {
-        "60 changes in a minute" => "latency.added_p99_us_by_rate_configuration",
+        "the busiest minute of changes" => "latency.added_p99_us_by_rate_configuration",
         "ordinary day" => "latency.added_p99_us_by_rate",
         _ => "latency.added_p99_us_by_rate_list",
     };
@@ -563,54 +606,94 @@
         "added to a call, 99 in 100, at this rate",
         "ms",
         0.0,
-        &[(slope, rate, 1e-3)],
+        &[(slope, Read::At(rate), 1e-3)],
         Some(plan.traffic.added_ms.value),
     );
     role.requirement = Requirement::Repeats;
     let depth = plan.graph.depth.value as f64;
     let headroom = Some(plan.traffic.headroom.value);
     let formula =
-        "attempts at the deepest tier for one call at the front; bound: attempts to the power of depth";
+        "attempts at the deepest tier for one call at the front; reckoned: attempts to the power of depth";
     if on.trouble {
         role.row(
             Cost::Repeats,
             formula,
             "attempts",
             0.0,
-            &[("depth.attempts_by_depth", depth, 1.0)],
+            &[("depth.attempts_by_depth", Read::At(depth), 1.0)],
             headroom,
         )
-        .bound = Some(f64::from(plan.traffic.attempts.value).powf(depth));
+        .instead = Some(f64::from(plan.traffic.attempts.value).powf(depth));
     } else {
         role.row(Cost::Repeats, formula, "attempts", 1.0, &[], headroom);
     }
 }
 
+/// What lists and configuration cost on the wire on an occasion, for so many balancers.
+struct Told {
+    list: [Part; 3],
+    list_reckoned: f64,
+    configuration: [Part; 2],
+    /// What is by the plan in either case: documents caught up with, and those longer than the measured one.
+    configuration_plain: f64,
+    configuration_reckoned: f64,
+    /// Changes a second that they take in, with those that they catch up with.
+    taken: f64,
+}
+
+impl Told {
+    fn of(plan: &Plan, on: &Occasion, balancers: f64) -> Self {
+        let upstreams = plan.fleet.upstreams.value as f64;
+        let within = plan.configuration.in_force_s.value;
+        let beat = BEAT_BYTES / plan.list.beat_s.value;
+        let whole = plan.whole_list_bytes() as f64;
+        // The measured change is one of the fleet's document.
+        let longer = on.changes * (on.own_bytes - on.own * plan.configuration.fleet_bytes.value as f64);
+        let caught_up = on.caught_up / within;
+        let lines = on.lines * plan.list.entry_bytes.value as f64;
+        let wholes = on.wholes / within;
+        let changes = on.changes * on.own;
+        Self {
+            list: [
+                ("control.list_rest_bytes_per_s_by_watchers", Read::OneMore, balancers),
+                ("control.list_change_bytes_by_changes", Read::OneMore, balancers * on.lines),
+                ("control.list_whole_bytes_by_upstreams", Read::At(upstreams), balancers * wholes),
+            ],
+            list_reckoned: balancers * (beat + lines + wholes * whole),
+            configuration: [
+                ("control.configuration_rest_bytes_per_s_by_watchers", Read::OneMore, balancers),
+                ("control.configuration_change_bytes_by_watchers", Read::OneMore, balancers * changes),
+            ],
+            configuration_plain: balancers * (longer + caught_up),
+            configuration_reckoned: balancers * (beat + on.changes * on.own_bytes + caught_up),
+            taken: balancers * (changes + if on.caught_up > 0.0 { 1.0 / within } else { 0.0 }),
+        }
+    }
+}
+
 fn balancer_control(plan: &Plan, on: &Occasion, rows: &mut Vec<Need>) {
     let upstreams = plan.fleet.upstreams.value as f64;
     let within = plan.configuration.in_force_s.value;
-    let beat = BEAT_BYTES / plan.list.beat_s.value;
     let (bytes, core, memory) = (
         Some(plan.budget.bytes_per_s.value),
         Some(plan.budget.core_share.value),
         Some(plan.budget.memory_mb.value),
     );
     let whole = plan.whole_list_bytes() as f64;
-    let list_bytes = beat + on.lines * plan.list.entry_bytes.value as f64 + on.wholes * whole / within;
     let own_documents = plan.own_documents_bytes();
-    let configuration_bytes = beat + on.changes * on.own_bytes + on.caught_up / within;
-    let list_core = [
-        ("control.list_client_us_by_upstreams", upstreams, on.wholes / within / 1e6),
-        ("control.list_client_change_us_by_upstreams", upstreams, on.lines / 1e6),
-        ("decisions.list_change_ns_by_upstreams", upstreams, (on.lines + on.wholes / within) / 1e9),
-        ("decisions.timer_ns_by_upstreams", upstreams, SWEEPS_PER_S / 1e9),
+    let told = Told::of(plan, on, 1.0);
+    let list_core: [Part; 3] = [
+        ("process.idle_core_by_upstreams", Read::At(upstreams), 1.0),
+        ("control.list_client_us_by_upstreams", Read::At(upstreams), on.wholes / within / 1e6),
+        ("control.list_client_change_us_by_upstreams", Read::At(upstreams), on.lines / 1e6),
+    ];
+    let configuration_core: [Part; 2] = [
+        ("control.configuration_client_core_by_watchers", Read::OneMore, 1.0),
+        ("control.configuration_change_client_us_by_watchers", Read::OneMore, told.taken / 1e6),
     ];
-    let configuration_core = [(
-        "control.configuration_client_us_by_bytes",
-        own_documents,
-        (on.changes * on.own + on.caught_up / own_documents / within) / 1e6,
-    )];
-    let list_memory = [("process.memory_kb_by_upstreams", upstreams, 1e-3)];
+    let list_memory: [Part; 1] = [("process.memory_kb_by_upstreams", Read::At(upstreams), MB_PER_KIB)];
+    let configuration_memory: [Part; 1] =
+        [("control.configuration_client_kb_by_watchers", Read::OneMore, MB_PER_KIB)];
 
     let mut role = Role {
         name: "balancer, its list client",
@@ -621,15 +704,16 @@
     role.row(Cost::State, "upstreams x bytes of an entry", "bytes", whole, &[], None);
     role.row(
         Cost::Messages,
-        "beats + lines/s x bytes of an entry + whole lists x their bytes / time that a change has",
+        "beats + lines/s x bytes of one + whole lists x their bytes / time that a change has",
         "bytes/s",
-        list_bytes,
-        &[],
+        0.0,
+        &told.list,
         bytes,
-    );
+    )
+    .instead = Some(told.list_reckoned);
     role.row(
         Cost::Processor,
-        "whole lists and lines/s taken in and decided on + sweeps/s, at all upstreams",
+        "a process at rest + whole lists and lines/s taken in and decided on, at all upstreams",
         "cores",
         0.0,
         &list_core,
@@ -646,15 +730,16 @@
     role.row(Cost::State, "three documents", "bytes", own_documents, &[], None);
     role.row(
         Cost::Messages,
-        "beats + changes/s x bytes for this balancer + documents caught up with / time that a change has",
+        "beats and reports + changes/s for it x bytes of one + documents caught up with / time that a change has",
         "bytes/s",
-        configuration_bytes,
-        &[],
+        told.configuration_plain,
+        &told.configuration,
         bytes,
-    );
+    )
+    .instead = Some(told.configuration_reckoned);
     role.row(
         Cost::Processor,
-        "changes/s for this balancer x time to take one in",
+        "a client at rest + changes/s for it x time to take one in and report it",
         "cores",
         0.0,
         &configuration_core,
@@ -662,12 +747,13 @@
     );
     role.row(
         Cost::Memory,
-        "three documents as text, as settings and once more while they change",
+        "one more client; reckoned: three documents as text, as settings and once more while they change",
         "MB",
-        3.0 * own_documents / 1e6,
-        &[],
+        0.0,
+        &configuration_memory,
         memory,
-    );
+    )
+    .instead = Some(3.0 * own_documents / 1e6);
 
     let mut role = Role {
         name: "balancer, all its control",
@@ -676,14 +762,22 @@
         rows,
     };
     role.row(Cost::State, "list + documents", "bytes", whole + own_documents, &[], None);
-    role.row(Cost::Messages, "list + configuration", "bytes/s", list_bytes + configuration_bytes, &[], bytes);
-    let both: Vec<_> = list_core.into_iter().chain(configuration_core).collect();
+    role.row(
+        Cost::Messages,
+        "list + configuration",
+        "bytes/s",
+        told.configuration_plain,
+        &[&told.list[..], &told.configuration].concat(),
+        bytes,
+    )
+    .instead = Some(told.list_reckoned + told.configuration_reckoned);
+    let both = [&list_core[..], &configuration_core].concat();
     role.row(Cost::Processor, "list + configuration", "cores", 0.0, &both, core);
-    role.row(Cost::Memory, "process + documents", "MB", 3.0 * own_documents / 1e6, &list_memory, memory);
+    let both = [&list_memory[..], &configuration_memory].concat();
+    role.row(Cost::Memory, "process + one more client of the configuration", "MB", 0.0, &both, memory);
 }
 
 fn control_machines(plan: &Plan, on: &Occasion, rows: &mut Vec<Need>) {
-    let within = plan.configuration.in_force_s.value;
     let budget = &plan.budget;
     let (bytes, core, memory) = (
         Some(budget.machine_bytes_per_s.value),
@@ -691,43 +785,57 @@
         Some(budget.machine_memory_mb.value),
     );
     let documents = plan.documents_bytes();
-    let whole = plan.whole_list_bytes() as f64;
-    let beat = BEAT_BYTES / plan.list.beat_s.value;
-    // A relay asks for all scopes, a balancer for its own.
-    let to_relay = beat + on.changes * plan.change_bytes().max(on.own_bytes * on.own);
-    let to_balancer = beat + on.changes * on.own_bytes + on.caught_up / within;
+    // A relay asks for all scopes and catches up with all documents at worst, a balancer for its own.
+    let for_relays = Occasion {
+        own: 1.0,
+        own_bytes: plan.change_bytes().max(on.own_bytes),
+        caught_up: if on.caught_up > 0.0 { documents } else { 0.0 },
+        ..on.clone()
+    };
     let relays = plan.deal.zone_relays.value as f64 / plan.fleet.zones.value as f64;
     let zones = plan.fleet.zones_by_region.value.iter().copied().max().unwrap_or(1) as f64;
-    let relay_children = on.region_children.min(relays * zones);
-    let kinds = [
-        ("control: origin", ORIGIN, on.origin_children, on.origin_children * to_relay),
-        ("control: standby of the origin", RELAY, 0.0, to_relay),
-        (
-            "control: relay of a region",
-            RELAY,
-            on.region_children,
-            relay_children * to_relay + (on.region_children - relay_children) * to_balancer,
-        ),
-        ("control: relay of a zone", RELAY, on.zone_children, on.zone_children * to_balancer),
-    ];
-    for (name, mechanism, children, out) in kinds {
+    let below_region = on.region_children.min(relays * zones);
+    // With how many relays each has a watch, its own above among them, and how many balancers.
+    for (name, mechanism, above, below, balancers) in [
+        ("control: origin", ORIGIN, 0.0, on.origin_children, 0.0),
+        ("control: standby of the origin", RELAY, 1.0, 0.0, 0.0),
+        ("control: relay of a region", RELAY, 1.0, below_region, on.region_children - below_region),
+        ("control: relay of a zone", RELAY, 1.0, 0.0, on.zone_children),
+    ] {
+        let (to_relays, to_balancers) =
+            (Told::of(plan, &for_relays, above + below), Told::of(plan, on, balancers));
         let mut role = Role { name, mechanism, requirement: Requirement::Configuration, rows: &mut *rows };
         role.row(Cost::State, "all documents", "bytes", documents, &[], None);
-        role.row(Cost::Messages, "children x what each is told", "bytes/s", out, &[], bytes);
+        role.row(
+            Cost::Messages,
+            "its watches, above and below, x what each is told and reports",
+            "bytes/s",
+            to_relays.configuration_plain + to_balancers.configuration_plain,
+            &[to_relays.configuration, to_balancers.configuration].concat(),
+            bytes,
+        )
+        .instead = Some(to_relays.configuration_reckoned + to_balancers.configuration_reckoned);
         role.row(
             Cost::Processor,
-            "its children's watches, as measured with their changes",
+            "its children's watches at rest + changes/s told, above and below, x time for one more told",
             "cores",
             0.0,
-            &[("control.configuration_server_core_by_watchers", children, 1.0)],
+            &[
+                ("control.configuration_server_core_by_watchers", Read::At(below + balancers), 1.0),
+                (
+                    "control.configuration_change_server_us_by_watchers",
+                    Read::OneMore,
+                    (to_relays.taken + to_balancers.taken) / 1e6,
+                ),
+            ],
             core,
         );
         role.row(
             Cost::Memory,
-            "its children's watches and all documents, as measured",
+            "a relay with so many children and all documents",
             "MB",
-            documents / 1e6,
-            &[("control.configuration_server_kb_by_watchers", children, 1e-3)],
+            0.0,
+            &[("control.configuration_server_kb_by_watchers", Read::At(below + balancers), MB_PER_KIB)],
             memory,
         );
     }
@@ -737,31 +845,35 @@
         requirement: Requirement::Lists,
         rows,
     };
-    let children = on.zone_children.max(on.region_children);
-    let told = beat + on.lines * plan.list.entry_bytes.value as f64 + on.wholes * whole / within;
-    role.row(Cost::State, "the whole list", "bytes", whole, &[], None);
+    let readers = on.zone_children.max(on.region_children);
+    let told = Told::of(plan, on, readers);
+    role.row(Cost::State, "the whole list", "bytes", plan.whole_list_bytes() as f64, &[], None);
     role.row(
         Cost::Messages,
         "readers of the busiest x what each is told",
         "bytes/s",
-        children * told,
-        &[],
+        0.0,
+        &told.list,
         bytes,
-    );
+    )
+    .instead = Some(told.list_reckoned);
     role.row(
         Cost::Processor,
-        "its readers' watches",
+        "its readers' watches at rest, at a stand-in, + lines/s told",
         "cores",
         0.0,
-        &[("control.list_server_core_by_watchers", children, 1.0)],
+        &[
+            ("control.list_server_core_by_watchers", Read::At(readers), 1.0),
+            ("control.list_change_server_us_by_watchers", Read::OneMore, readers * on.lines / 1e6),
+        ],
         core,
     );
     role.row(
         Cost::Memory,
-        "its readers' watches",
+        "its readers' watches, at a stand-in",
         "MB",
         0.0,
-        &[("control.list_server_kb_by_watchers", children, 1e-3)],
+        &[("control.list_server_kb_by_watchers", Read::At(readers), MB_PER_KIB)],
         memory,
     );
 }
@@ -779,7 +891,8 @@
         &[],
         Some(plan.budget.bytes_per_s.value),
     );
-    let unknown = [("control.registrant_core_by_rate", 1.0 / plan.list.renew_s.value, 1.0)];
+    let unknown: [Part; 1] =
+        [("control.registrant_core_by_rate", Read::At(1.0 / plan.list.renew_s.value), 1.0)];
     role.row(Cost::Processor, "renewals", "cores", 0.0, &unknown, Some(plan.budget.core_share.value));
     role.row(Cost::Memory, "its own entry", "MB", entry / 1e6, &[], Some(plan.budget.memory_mb.value));
 }
@@ -813,16 +926,16 @@
         "changes/s x time of the origin to check, keep and answer",
         "cores",
         0.0,
-        &[("control.publish_us_by_bytes", plan.change_bytes(), on.changes / 1e6)],
+        &[("control.publish_us_by_bytes", Read::At(plan.change_bytes()), on.changes / 1e6)],
         Some(plan.budget.machine_cores.value),
     );
     role.row(Cost::Memory, "a document at a time", "MB", changes.service_bytes.value as f64 / 1e6, &[], None);
     role.row(
         Cost::Time,
-        "from a change to the last of all balancers, without faults",
+        "from a change's sending to the last of all balancers, without faults, one relay for all; with faults: played fleets",
         "s",
         0.0,
-        &[("control.change_last_ms_by_watchers", plan.fleet.upstreams.value as f64, 1e-3)],
+        &[("control.change_sent_last_ms_by_watchers", Read::At(plan.fleet.upstreams.value as f64), 1e-3)],
         Some(changes.in_force_s.value),
     );
     let carried = PUBLISHER.carried(tree).and(CONFIGURATION_CLIENT.carried(tree)).is_some();
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -464,8 +464,8 @@
 
 fn basis_text(basis: &Basis) -> String {
     match basis {
-        Basis::Reckoned => "reckoned from the plan".to_owned(),
-        Basis::Bound(missing) => format!("bound by arithmetic; not measured: {}", missing.join(", ")),
+        Basis::Reckoned(missing) if missing.is_empty() => "reckoned from the plan".to_owned(),
+        Basis::Reckoned(missing) => format!("reckoned from the plan; not measured: {}", missing.join(", ")),
         Basis::Measured => "measured".to_owned(),
         Basis::Extrapolated(past) => format!("extrapolated, {} times the largest size played", show(*past)),
         Basis::NotMeasured(missing) => format!("not measured: {}", missing.join(", ")),
@@ -499,30 +499,49 @@
             slope.to_owned()
         }
     };
-    need.terms.iter().map(|term| name(term.slope)).collect::<Vec<_>>().join(", ")
+    let names: BTreeSet<&str> = need.terms.iter().map(|term| term.slope).collect();
+    names.into_iter().map(name).collect::<Vec<_>>().join(", ")
 }
 
+/// The roles, in the order of their needs.
+fn roles(needs: &[Need]) -> Vec<&'static str> {
+    let mut roles: Vec<&'static str> = Vec::new();
+    for need in needs {
+        if !roles.contains(&need.role) {
+            roles.push(need.role);
+        }
+    }
+    roles
+}
+
+/// For each role a table: a row a cost.
 fn day_block(plan: &Plan, slopes: &Slopes, tree: &Path) -> String {
-    let day = Occasion::all(plan).swap_remove(0);
-    let rows = needs(plan, &day, tree).into_iter().map(|need| {
-        let figure = need.figure(slopes);
-        vec![
-            need.role.to_owned(),
-            need.cost.text().to_owned(),
-            need.formula.to_owned(),
-            slope_text(&need, slopes),
-            figure_text(&figure, need.unit),
-            need.budget.map_or("–".to_owned(), show),
-            figure.ratio.map_or("–".to_owned(), show),
-            need.mechanism.carried(tree).unwrap_or("none today").to_owned(),
-            basis_text(&figure.basis),
-            command_text(&need, slopes),
-        ]
-    });
-    table(
-        &["role", "cost", "formula", "slope", "figure", "budget", "ratio", "carried by", "basis", "command"],
-        rows,
-    )
+    let all = needs(plan, &Occasion::all(plan).swap_remove(0), tree);
+    let head = ["cost", "formula", "slope", "figure", "budget", "ratio", "carried by", "basis", "command"];
+    let mut text = String::new();
+    for role in roles(&all) {
+        let rows = all.iter().filter(|need| need.role == role).map(|need| {
+            let figure = need.figure(slopes);
+            vec![
+                need.cost.text().to_owned(),
+                need.formula.to_owned(),
+                slope_text(need, slopes),
+                figure_text(&figure, need.unit),
+                need.budget.map_or("–".to_owned(), show),
+                figure.ratio.map_or("–".to_owned(), show),
+                need.mechanism.carried(tree).unwrap_or("none today").to_owned(),
+                basis_text(&figure.basis),
+                command_text(need, slopes),
+            ]
+        });
+        let _ = write!(text, "### {}\n\n{}\n", heading(role), table(&head, rows));
+    }
+    text
+}
+
+fn heading(role: &str) -> String {
+    let mut letters = role.chars();
+    letters.next().map_or(String::new(), |first| first.to_uppercase().chain(letters).collect())
 }
 
 /// For each role a table: a row an occasion, a column a cost.
@@ -534,16 +553,10 @@
     );
     let by_occasion: Vec<Vec<Need>> = occasions.iter().map(|on| needs(plan, on, tree)).collect();
     let Some(first) = by_occasion.first() else { return text };
-    let mut roles: Vec<&'static str> = Vec::new();
-    for need in first {
-        if !roles.contains(&need.role) {
-            roles.push(need.role);
-        }
-    }
-    for role in roles {
+    for role in roles(first) {
         let of_role: Vec<(usize, &Need)> =
             first.iter().enumerate().filter(|(_, need)| need.role == role).collect();
-        let _ = write!(text, "\n{role}\n\n");
+        let _ = write!(text, "\n### {}, at each peak\n\n", heading(role));
         let head: Vec<String> = std::iter::once("occasion".to_owned())
             .chain(of_role.iter().map(|(_, need)| format!("{}, {}", need.cost.text(), need.unit)))
             .collect();
@@ -563,8 +576,7 @@
     let Some(value) = figure.value else { return "not measured".to_owned() };
     let ratio = figure.ratio.map_or(String::new(), |ratio| format!(" ({})", show(ratio)));
     let basis = match &figure.basis {
-        Basis::Reckoned => "r".to_owned(),
-        Basis::Bound(_) => "b".to_owned(),
+        Basis::Reckoned(_) => "r".to_owned(),
         Basis::Measured => "m".to_owned(),
         Basis::Extrapolated(past) => format!("e{}", show(*past)),
         Basis::NotMeasured(_) => String::new(),
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -123,7 +123,7 @@
     let (folder, plan) = (Folder::new("measured"), plan());
     fs::write(folder.0.join("CAPACITY.md"), empty_page(&plan)).unwrap();
     let measured = |each: f64| {
-        slope("control.change_last_ms_by_watchers", &[100.0, 300.0, 1000.0, 1900.0], |x| each * x)
+        slope("control.change_sent_last_ms_by_watchers", &[100.0, 300.0, 1000.0, 1900.0], |x| each * x)
             .write(&folder.0.join("slopes"))
             .unwrap();
     };
@@ -159,7 +159,7 @@
     let need = need(&plan, &day(&plan), "operator who publishes", Cost::Time);
     let figure = need.figure(&Slopes::default());
     assert_eq!((figure.value, figure.ratio), (None, None));
-    assert_eq!(figure.basis, Basis::NotMeasured(vec!["control.change_last_ms_by_watchers"]));
+    assert_eq!(figure.basis, Basis::NotMeasured(vec!["control.change_sent_last_ms_by_watchers".to_owned()]));
 }
 
 #[test]
@@ -167,7 +167,7 @@
     let plan = plan();
     let need = need(&plan, &day(&plan), "operator who publishes", Cost::Time);
     let of = |sizes: &[f64]| {
-        need.figure(&slopes([slope("control.change_last_ms_by_watchers", sizes, |x| 10.0 + x)]))
+        need.figure(&slopes([slope("control.change_sent_last_ms_by_watchers", sizes, |x| 10.0 + x)]))
     };
     let within = of(&[100.0, 300.0, 1000.0, 1900.0]);
     assert!((within.value.unwrap() - 1.91).abs() < 1e-9 && within.basis == Basis::Measured, "{within:?}");
@@ -225,7 +225,7 @@
     let figure = need(&plan, on, "balancer, all its control", Cost::Messages).figure(&Slopes::default());
     let bytes = (285_000.0 + 12_288.0) / 13.0;
     assert!((figure.value.unwrap() - bytes).abs() < 20.0 && figure.ratio.unwrap() > 1.0, "{figure:?}");
-    assert_eq!(figure.basis, Basis::Reckoned);
+    assert!(matches!(figure.basis, Basis::Reckoned(_)), "{figure:?}");
 }
 
 #[test]
