Tell of each row what would break it, and take played times before slopes

Need: a row whose figure was played as such (the last balancer that a change reaches, with a relay or a zone lost) must show that and not a slope; a reader must see what would break each figure. Change: measurements are slopes and tables of results; a need may name a table's row and column, and the worst play counts.

--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -1,12 +1,12 @@
 //! What each role needs at the size of the plan: from the plan's figures and the measured slopes, against its budget.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use crate::ScaleError;
 use crate::plan::{Plan, Reading};
-use crate::slope::Slope;
+use crate::slope::{Results, Slope};
 
 /// Bytes of an empty line of a watch as one chunk of HTTP/1.1.
 const BEAT_BYTES: f64 = 6.0;
@@ -326,6 +326,19 @@
     pub times: f64,
 }
 
+/// A figure of a table of results: the worst of its plays.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Played {
+    /// The table's name.
+    pub results: &'static str,
+    /// What stands in the first cell of its rows.
+    pub row: &'static str,
+    /// The head of its column.
+    pub column: &'static str,
+    /// How often it counts, with the units changed.
+    pub times: f64,
+}
+
 /// What a role needs of something.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Need {
@@ -335,6 +348,8 @@
     pub cost: Cost,
     /// How the figure is made.
     pub formula: &'static str,
+    /// Where it was played as such, which goes before its slopes.
+    pub played: Option<Played>,
     /// Of the figure.
     pub unit: &'static str,
     /// What follows from the plan alone.
@@ -358,6 +373,8 @@
 pub enum Basis {
     /// From the plan by arithmetic, in place of these slopes if any is missing.
     Reckoned(Vec<String>),
+    /// Played as such: the worst of so many plays.
+    Played(usize),
     /// Between measured sizes.
     Measured,
     /// By fits, this many times past the largest size played.
@@ -377,33 +394,33 @@
     pub basis: Basis,
 }
 
-/// All slopes that have been measured.
+/// All that has been measured, by name.
 #[derive(Debug, Default)]
-pub struct Slopes(pub BTreeMap<String, Slope>);
+pub struct Measured {
+    /// Slopes.
+    pub slopes: BTreeMap<String, Slope>,
+    /// Tables of what was played.
+    pub results: BTreeMap<String, Results>,
+}
 
-impl Slopes {
-    /// Reads those of a folder; none where it is missing.
+impl Measured {
+    /// Reads the folders `slopes` and `results` of a folder; nothing where they are missing.
     ///
     /// # Errors
-    /// A file makes no sense, or its name is not the slope's.
+    /// A file makes no sense, or is of another name than what it holds.
     pub fn read(folder: &Path) -> Result<Self, ScaleError> {
-        let mut slopes = BTreeMap::new();
-        for path in json_files(folder)? {
-            let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
-            let slope = Slope::read(folder, &name)?;
-            if slope.name != name {
-                return Err(ScaleError::file(&path, format!("it holds the slope {}", slope.name)));
-            }
-            slopes.insert(name, slope);
-        }
-        Ok(Self(slopes))
+        let (slopes, results) = (folder.join("slopes"), folder.join("results"));
+        Ok(Self {
+            slopes: named(&slopes, Slope::read, |slope| &slope.name)?,
+            results: named(&results, Results::read, |results| &results.name)?,
+        })
     }
 
     /// The cost at a size, and how many times past the largest size played that lies (1 within): measured where the
     /// size lies between two that were played, by the fit otherwise. `None` where it is not measured or has no fit there.
     #[must_use]
     pub fn at(&self, name: &str, x: f64) -> Option<(f64, f64)> {
-        let slope = self.0.get(name)?;
+        let slope = self.slopes.get(name)?;
         let mut points = slope.points.clone();
         points.sort_by(|a, b| a.x.total_cmp(&b.x));
         if let Some(point) = points.iter().find(|point| point.x == x) {
@@ -419,59 +436,108 @@
             .map(|fit| (fit.at(x).max(0.0), if x > largest && largest > 0.0 { x / largest } else { 1.0 }))
     }
 
+    /// The worst of a figure's plays, and how many there are; `None` where there are none.
+    fn worst(&self, played: Played) -> Option<(f64, usize)> {
+        let table = self.results.get(played.results)?;
+        let at = table.columns.iter().position(|column| column == played.column)?;
+        let rows = table.rows.iter().filter(|row| row.first().is_some_and(|first| first == played.row));
+        let figures: Vec<f64> = rows.filter_map(|row| row.get(at)?.parse().ok()).collect();
+        let worst = figures.iter().copied().reduce(f64::max)?;
+        Some((worst * played.times, figures.len()))
+    }
+
     fn read_as(&self, name: &str, read: Read) -> Option<(f64, f64)> {
         match read {
             Read::At(x) => self.at(name, x),
             Read::Beyond(x) => {
-                let smallest = self.0.get(name)?.points.iter().map(|point| point.x).fold(f64::MAX, f64::min);
+                let smallest =
+                    self.slopes.get(name)?.points.iter().map(|point| point.x).fold(f64::MAX, f64::min);
                 let (least, _) = self.at(name, smallest)?;
                 self.at(name, x.max(smallest)).map(|(cost, past)| (cost - least, past))
             }
-            Read::OneMore => Some((self.0.get(name)?.fit?.each.max(0.0), 1.0)),
+            Read::OneMore => Some((self.slopes.get(name)?.fit?.each.max(0.0), 1.0)),
         }
     }
 
     /// What to say of a slope that gave no figure.
     fn gap(&self, name: &str) -> String {
-        match self.0.get(name) {
+        match self.slopes.get(name) {
             None => name.to_owned(),
             Some(slope) => format!("{name} (played up to {}, and no straight line fits it)", slope.largest()),
         }
     }
 }
 
-/// The JSON files of a folder, in the order of their names; none where it is missing.
-///
-/// # Errors
-/// The folder cannot be read.
-pub fn json_files(folder: &Path) -> Result<Vec<PathBuf>, ScaleError> {
+fn named<T>(
+    folder: &Path,
+    read: fn(&Path, &str) -> Result<T, ScaleError>,
+    name_of: fn(&T) -> &str,
+) -> Result<BTreeMap<String, T>, ScaleError> {
     if !folder.is_dir() {
-        return Ok(Vec::new());
+        return Ok(BTreeMap::new());
     }
     let entries = fs::read_dir(folder).map_err(|cause| ScaleError::file(folder, cause))?;
-    let paths: BTreeSet<PathBuf> = entries
-        .filter_map(Result::ok)
-        .map(|entry| entry.path())
+    let paths = entries.filter_map(Result::ok).map(|entry| entry.path());
+    paths
         .filter(|path| path.extension().is_some_and(|end| end == "json"))
-        .collect();
-    Ok(paths.into_iter().collect())
+        .map(|path| {
+            let name = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+            let held = read(folder, &name)?;
+            if name_of(&held) != name {
+                return Err(ScaleError::file(&path, format!("it holds {}", name_of(&held))));
+            }
+            Ok((name, held))
+        })
+        .collect()
 }
 
 impl Need {
-    /// The figure that the slopes give.
+    /// What would break the figure.
+    #[must_use]
+    pub fn breaks(&self) -> &'static str {
+        let of = |start: &str| self.terms.iter().any(|term| term.slope.starts_with(start));
+        match self.cost {
+            Cost::Time if of("latency.") => "a core or a queue that fills: the time then rises without bound",
+            Cost::Time => "distance, loss, machines of their own: all was played on one",
+            Cost::Repeats => "several services in trouble at once, clients that repeat more",
+            Cost::Restarts => "changes that are more for all, or less",
+            Cost::State => "longer entries and documents, calls held longer",
+            Cost::Messages if of("control.") => {
+                "longer entries and documents, other heads of HTTP, encryption"
+            }
+            Cost::Messages => "a busier balancer than assumed",
+            Cost::Processor if of("process.request") => {
+                "connections opened anew for calls, long bodies, answers that come slowly, encryption"
+            }
+            Cost::Processor if of("process.") => {
+                "lines that come faster than they were played, another processor"
+            }
+            Cost::Processor => "longer documents, more scopes, slow readers, another processor",
+            Cost::Memory if of("decisions.") => {
+                "bodies held with the calls, more connections than were played"
+            }
+            Cost::Memory => "longer entries and documents, slow readers",
+        }
+    }
+
+    /// The figure that the measurements give.
     #[must_use]
-    pub fn figure(&self, slopes: &Slopes) -> Figure {
+    pub fn figure(&self, measured: &Measured) -> Figure {
+        if let Some((value, plays)) = self.played.and_then(|played| measured.worst(played)) {
+            let ratio = self.budget.map(|budget| value / budget);
+            return Figure { value: Some(value), ratio, basis: Basis::Played(plays) };
+        }
         let mut value = self.plain;
         let mut past = self.past;
         let mut missing: Vec<String> = Vec::new();
         for &Term { slope, read, times } in &self.terms {
-            match slopes.read_as(slope, read) {
+            match measured.read_as(slope, read) {
                 Some((cost, times_past)) => {
                     value += cost * times;
                     past = past.max(times_past);
                 }
                 None => {
-                    let gap = slopes.gap(slope);
+                    let gap = measured.gap(slope);
                     if !missing.contains(&gap) {
                         missing.push(gap);
                     }
@@ -521,6 +587,7 @@
             unit,
             plain,
             terms,
+            played: None,
             past: 1.0,
             instead: None,
             budget,
@@ -932,12 +999,24 @@
     role.row(Cost::Memory, "a document at a time", "MB", changes.service_bytes.value as f64 / 1e6, &[], None);
     role.row(
         Cost::Time,
-        "from a change's sending to the last of all balancers, without faults, one relay for all; with faults: played fleets",
+        "from a change's acknowledgement to the last balancer, as played; else from its sending, one relay for all",
         "s",
         0.0,
         &[("control.change_sent_last_ms_by_watchers", Read::At(plan.fleet.upstreams.value as f64), 1e-3)],
         Some(changes.in_force_s.value),
-    );
+    )
+    .played = Some(Played {
+        results: "sockets",
+        row: match on.name {
+            "a region cut off and back" => "cut",
+            "one control machine lost" => "relay",
+            "a zone of control machines lost" => "zone",
+            "all balancers reconnecting" => "reconnect",
+            _ => "none",
+        },
+        column: "last, ms",
+        times: 1e-3,
+    });
     let carried = PUBLISHER.carried(tree).and(CONFIGURATION_CLIENT.carried(tree)).is_some();
     role.row(
         Cost::Restarts,
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -9,7 +9,7 @@
 use clap::Args;
 
 use crate::ScaleError;
-use crate::arithmetic::{Basis, Cost, Figure, Need, Occasion, Requirement, Slopes, json_files, needs};
+use crate::arithmetic::{Basis, Cost, Figure, Measured, Need, Occasion, Requirement, needs};
 use crate::plan::{Plan, Reading, Source};
 use crate::plots;
 use crate::slope::{Results, Slope};
@@ -42,15 +42,14 @@
 /// # Errors
 /// A file cannot be read, written or understood; a block has no marker; with `--check`, what differs.
 pub fn run(arguments: &Arguments, plan: &Plan) -> Result<(), ScaleError> {
-    let slopes = Slopes::read(&arguments.from.join("slopes"))?;
-    let results = read_results(&arguments.from.join("results"))?;
-    let blocks = blocks(plan, &slopes, &results, &arguments.tree);
+    let measured = Measured::read(&arguments.from)?;
+    let blocks = blocks(plan, &measured, &arguments.tree);
     let page = arguments.out.join("CAPACITY.md");
     let before = fs::read_to_string(&page).map_err(|cause| ScaleError::file(&page, cause))?;
     let after = filled(&before, &blocks).map_err(|cause| ScaleError::file(&page, cause))?;
     let folder = arguments.out.join("capacity");
-    let drawn: Vec<(PathBuf, String)> = slopes
-        .0
+    let drawn: Vec<(PathBuf, String)> = measured
+        .slopes
         .values()
         .map(|slope| Ok((folder.join(format!("{}.svg", slope.name)), plots::svg(slope)?)))
         .collect::<Result<_, ScaleError>>()?;
@@ -83,15 +82,10 @@
         fs::remove_file(path).map_err(|cause| ScaleError::file(path, cause))?;
     }
     fs::write(&page, after).map_err(|cause| ScaleError::file(&page, cause))?;
-    print!("{}", ranking(plan, &slopes, &arguments.tree));
+    print!("{}", ranking(plan, &measured, &arguments.tree));
     Ok(())
 }
 
-fn read_results(folder: &Path) -> Result<Vec<Results>, ScaleError> {
-    let read = |path: PathBuf| Results::read(folder, &path.file_stem().unwrap_or_default().to_string_lossy());
-    json_files(folder)?.into_iter().map(read).collect()
-}
-
 /// Plots that no slope stands behind.
 fn stale_plots(folder: &Path, drawn: &[(PathBuf, String)]) -> Result<Vec<PathBuf>, ScaleError> {
     if !folder.is_dir() {
@@ -144,21 +138,16 @@
 
 /// All blocks by name.
 #[must_use]
-pub fn blocks(
-    plan: &Plan,
-    slopes: &Slopes,
-    results: &[Results],
-    tree: &Path,
-) -> BTreeMap<&'static str, String> {
+pub fn blocks(plan: &Plan, measured: &Measured, tree: &Path) -> BTreeMap<&'static str, String> {
     BTreeMap::from([
         ("plan", plan_block(plan)),
         ("derived", derived_block(plan)),
         ("deal", deal_block(plan)),
-        ("ranking", ranking(plan, slopes, tree)),
-        ("day", day_block(plan, slopes, tree)),
-        ("peaks", peaks_block(plan, slopes, tree)),
-        ("slopes", slopes_block(plan, slopes, tree)),
-        ("results", results_block(results)),
+        ("ranking", ranking(plan, measured, tree)),
+        ("day", day_block(plan, measured, tree)),
+        ("peaks", peaks_block(plan, measured, tree)),
+        ("slopes", slopes_block(plan, measured, tree)),
+        ("results", results_block(measured)),
     ])
 }
 
@@ -405,12 +394,12 @@
 }
 
 /// Requirements by what is missing first: those that nothing carries today, then by the largest ratio of need to budget.
-fn ranked(plan: &Plan, slopes: &Slopes, tree: &Path) -> Vec<Worst> {
+fn ranked(plan: &Plan, measured: &Measured, tree: &Path) -> Vec<Worst> {
     let mut worst: BTreeMap<Requirement, Worst> = BTreeMap::new();
     for occasion in Occasion::all(plan) {
         for need in needs(plan, &occasion, tree) {
             let carried = need.mechanism.carried(tree).is_some();
-            let figure = need.figure(slopes);
+            let figure = need.figure(measured);
             let (requirement, ratio) = (need.requirement, figure.ratio);
             let rank = |carried: bool, ratio: Option<f64>| (!carried, ratio.unwrap_or(-1.0));
             let known = worst.get(&requirement).map(|known| rank(known.carried, known.ratio));
@@ -428,8 +417,8 @@
 
 /// The table of what is missing first.
 #[must_use]
-pub fn ranking(plan: &Plan, slopes: &Slopes, tree: &Path) -> String {
-    let rows = ranked(plan, slopes, tree).into_iter().enumerate().map(|(rank, worst)| {
+pub fn ranking(plan: &Plan, measured: &Measured, tree: &Path) -> String {
+    let rows = ranked(plan, measured, tree).into_iter().enumerate().map(|(rank, worst)| {
         vec![
             (rank + 1).to_string(),
             worst.requirement.text().to_owned(),
@@ -466,34 +455,43 @@
     match basis {
         Basis::Reckoned(missing) if missing.is_empty() => "reckoned from the plan".to_owned(),
         Basis::Reckoned(missing) => format!("reckoned from the plan; not measured: {}", missing.join(", ")),
+        Basis::Played(plays) => format!("played, the worst of {plays}"),
         Basis::Measured => "measured".to_owned(),
         Basis::Extrapolated(past) => format!("extrapolated, {} times the largest size played", show(*past)),
         Basis::NotMeasured(missing) => format!("not measured: {}", missing.join(", ")),
     }
 }
 
-fn command_text(need: &Need, slopes: &Slopes) -> String {
+/// The table that a need is read from, where it was played as such.
+fn table_of<'a>(need: &Need, measured: &'a Measured) -> Option<&'a Results> {
+    let played = need.played.filter(|_| matches!(need.figure(measured).basis, Basis::Played(_)))?;
+    measured.results.get(played.results)
+}
+
+fn command_text(need: &Need, measured: &Measured) -> String {
+    if let Some(table) = table_of(need, measured) {
+        return format!("`{}`", table.command);
+    }
     if need.terms.is_empty() {
         return format!("`{PLAN_COMMAND}`");
     }
-    let commands: BTreeSet<&str> = need
-        .terms
-        .iter()
-        .filter_map(|term| slopes.0.get(term.slope))
-        .map(|slope| slope.command.as_str())
-        .collect();
+    let known = need.terms.iter().filter_map(|term| measured.slopes.get(term.slope));
+    let commands: BTreeSet<&str> = known.map(|slope| slope.command.as_str()).collect();
     if commands.is_empty() {
         return "none yet".to_owned();
     }
     commands.iter().map(|command| format!("`{command}`")).collect::<Vec<_>>().join("; ")
 }
 
-fn slope_text(need: &Need, slopes: &Slopes) -> String {
+fn slope_text(need: &Need, measured: &Measured) -> String {
+    if let Some(table) = table_of(need, measured) {
+        return format!("[{}](#{})", table.name, table.name);
+    }
     if need.terms.is_empty() {
         return "–".to_owned();
     }
     let name = |slope: &str| {
-        if slopes.0.contains_key(slope) {
+        if measured.slopes.contains_key(slope) {
             format!("[{slope}](capacity/{slope}.svg)")
         } else {
             slope.to_owned()
@@ -515,23 +513,35 @@
 }
 
 /// For each role a table: a row a cost.
-fn day_block(plan: &Plan, slopes: &Slopes, tree: &Path) -> String {
+fn day_block(plan: &Plan, measured: &Measured, tree: &Path) -> String {
     let all = needs(plan, &Occasion::all(plan).swap_remove(0), tree);
-    let head = ["cost", "formula", "slope", "figure", "budget", "ratio", "carried by", "basis", "command"];
+    let head = [
+        "cost",
+        "formula",
+        "slope",
+        "figure",
+        "budget",
+        "ratio",
+        "carried by",
+        "basis",
+        "what would break it",
+        "command",
+    ];
     let mut text = String::new();
     for role in roles(&all) {
         let rows = all.iter().filter(|need| need.role == role).map(|need| {
-            let figure = need.figure(slopes);
+            let figure = need.figure(measured);
             vec![
                 need.cost.text().to_owned(),
                 need.formula.to_owned(),
-                slope_text(need, slopes),
+                slope_text(need, measured),
                 figure_text(&figure, need.unit),
                 need.budget.map_or("–".to_owned(), show),
                 figure.ratio.map_or("–".to_owned(), show),
                 need.mechanism.carried(tree).unwrap_or("none today").to_owned(),
                 basis_text(&figure.basis),
-                command_text(need, slopes),
+                need.breaks().to_owned(),
+                command_text(need, measured),
             ]
         });
         let _ = write!(text, "### {}\n\n{}\n", heading(role), table(&head, rows));
@@ -545,7 +555,7 @@
 }
 
 /// For each role a table: a row an occasion, a column a cost.
-fn peaks_block(plan: &Plan, slopes: &Slopes, tree: &Path) -> String {
+fn peaks_block(plan: &Plan, measured: &Measured, tree: &Path) -> String {
     let occasions = Occasion::all(plan);
     let mut text = table(
         &["peak", "what it is"],
@@ -563,7 +573,7 @@
         let head: Vec<&str> = head.iter().map(String::as_str).collect();
         let rows = occasions.iter().zip(&by_occasion).map(|(occasion, needs)| {
             let cells =
-                of_role.iter().filter_map(|&(at, _)| needs.get(at)).map(|need| short(&need.figure(slopes)));
+                of_role.iter().filter_map(|&(at, _)| needs.get(at)).map(|need| short(&need.figure(measured)));
             std::iter::once(occasion.name.to_owned()).chain(cells).collect()
         });
         text += &table(&head, rows);
@@ -577,6 +587,7 @@
     let ratio = figure.ratio.map_or(String::new(), |ratio| format!(" ({})", show(ratio)));
     let basis = match &figure.basis {
         Basis::Reckoned(_) => "r".to_owned(),
+        Basis::Played(_) => "p".to_owned(),
         Basis::Measured => "m".to_owned(),
         Basis::Extrapolated(past) => format!("e{}", show(*past)),
         Basis::NotMeasured(_) => String::new(),
@@ -584,13 +595,13 @@
     format!("{}{ratio} {basis}", show(value))
 }
 
-fn slopes_block(plan: &Plan, slopes: &Slopes, tree: &Path) -> String {
+fn slopes_block(plan: &Plan, measured: &Measured, tree: &Path) -> String {
     let fit = |slope: &Slope| {
         slope.fit.map_or(["no straight line".to_owned(), "–".to_owned()], |fit| {
             [format!("{} + {} x", show(fit.base), show(fit.each)), format!("{:.1}%", fit.residual * 100.0)]
         })
     };
-    let rows = slopes.0.values().map(|slope| {
+    let rows = measured.slopes.values().map(|slope| {
         let sizes: Vec<String> = slope.points.iter().map(|point| show(point.x)).collect();
         let middles: Vec<String> = slope.points.iter().map(|point| show(point.y)).collect();
         let spreads: Vec<String> =
@@ -610,7 +621,7 @@
             slope.note.clone(),
         ]
     });
-    let mut text = if slopes.0.is_empty() {
+    let mut text = if measured.slopes.is_empty() {
         "None has been measured yet.\n".to_owned()
     } else {
         table(
@@ -635,18 +646,18 @@
         .flat_map(|occasion| needs(plan, occasion, tree))
         .flat_map(|need| need.terms.into_iter().map(|term| term.slope))
         .collect();
-    let missing: Vec<&str> = wanted.into_iter().filter(|name| !slopes.0.contains_key(*name)).collect();
+    let missing: Vec<&str> = wanted.into_iter().filter(|name| !measured.slopes.contains_key(*name)).collect();
     if !missing.is_empty() {
         let _ = write!(text, "\nNot measured, and asked for by the rows above: {}.\n", missing.join(", "));
     }
     text
 }
 
-fn results_block(results: &[Results]) -> String {
+fn results_block(measured: &Measured) -> String {
     let mut text = String::new();
-    for result in results {
+    for result in measured.results.values() {
         let Results { name, what, command, commit, columns, rows, note } = result;
-        let _ = write!(text, "{name}: {what} At {commit}, `{command}`.");
+        let _ = write!(text, "### {name}\n\n{what}. At {commit}, `{command}`.");
         if !note.is_empty() {
             let _ = write!(text, " {note}");
         }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -4,11 +4,11 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use fennelhatch_scale::arithmetic::{Basis, Cost, Need, Occasion, Slopes, needs};
+use fennelhatch_scale::arithmetic::{Basis, Cost, Measured, Need, Occasion, Played, Read, Term, needs};
 use fennelhatch_scale::page::{self, Arguments, blocks, filled, ranking, show};
 use fennelhatch_scale::plan::Plan;
 use fennelhatch_scale::plots;
-use fennelhatch_scale::slope::{Fit, Point, Slope};
+use fennelhatch_scale::slope::{Fit, Point, Results, Slope};
 
 fn tree() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -35,8 +35,9 @@
     }
 }
 
-fn slopes(all: impl IntoIterator<Item = Slope>) -> Slopes {
-    Slopes(all.into_iter().map(|slope| (slope.name.clone(), slope)).collect())
+fn slopes(all: impl IntoIterator<Item = Slope>) -> Measured {
+    let slopes = all.into_iter().map(|slope| (slope.name.clone(), slope)).collect();
+    Measured { slopes, results: BTreeMap::new() }
 }
 
 /// A folder of its own, removed again.
@@ -62,7 +63,7 @@
 }
 
 fn empty_page(plan: &Plan) -> String {
-    let blocks = blocks(plan, &Slopes::default(), &[], Path::new("."));
+    let blocks = blocks(plan, &Measured::default(), Path::new("."));
     let parts =
         blocks.keys().map(|name| format!("by hand, {name}\n<!-- generated: {name} -->\n<!-- end -->\n"));
     parts.collect::<String>() + "the end\n"
@@ -157,7 +158,7 @@
 fn what_is_not_measured_has_no_figure() {
     let plan = plan();
     let need = need(&plan, &day(&plan), "operator who publishes", Cost::Time);
-    let figure = need.figure(&Slopes::default());
+    let figure = need.figure(&Measured::default());
     assert_eq!((figure.value, figure.ratio), (None, None));
     assert_eq!(figure.basis, Basis::NotMeasured(vec!["control.change_sent_last_ms_by_watchers".to_owned()]));
 }
@@ -184,6 +185,83 @@
     assert_eq!(bent.at("y", 200.0), None);
 }
 
+#[test]
+fn a_slope_is_read_at_a_size_beyond_the_smallest_or_as_one_more() {
+    let plan = plan();
+    let measured = slopes([slope("x", &[10.0, 100.0, 1000.0], |x| 50.0 + 2.0 * x)]);
+    let mut need = need(&plan, &day(&plan), "operator who publishes", Cost::Processor);
+    need.plain = 1.0;
+    let mut reads = |read, times| {
+        need.terms = vec![Term { slope: "x", read, times }];
+        need.figure(&measured).value.unwrap()
+    };
+    for (read, times, value) in [
+        (Read::At(100.0), 1.0, 251.0),
+        (Read::At(2000.0), 1.0, 4051.0),
+        (Read::Beyond(100.0), 1.0, 181.0),
+        (Read::Beyond(1.0), 1.0, 1.0),
+        (Read::OneMore, 100.0, 201.0),
+    ] {
+        let got = reads(read, times);
+        assert!((got - value).abs() < 1e-6, "{read:?}: {got}");
+    }
+}
+
+#[test]
+fn a_rate_that_was_not_played_is_an_extrapolation() {
+    let plan = plan();
+    let measured = slopes([slope("process.request_us_by_upstreams", &[6.0, 1900.0], |_| 100.0)]);
+    let need = need(&plan, &day(&plan), "balancer, data path (rate at the front)", Cost::Processor);
+    let figure = need.figure(&measured);
+    assert_eq!(figure.basis, Basis::Extrapolated(plan.traffic.busiest_over_mean.value));
+    assert!((figure.value.unwrap() - 0.442).abs() < 0.001, "{figure:?}");
+}
+
+#[test]
+fn a_slope_with_no_straight_line_is_not_read_past_its_sizes() {
+    let plan = plan();
+    let mut bent = slope("latency.added_p99_us_by_rate", &[50.0, 900.0], |x| x);
+    bent.fit = None;
+    let need = need(&plan, &day(&plan), "balancer, data path (rate at the front)", Cost::Time);
+    let figure = need.figure(&slopes([bent]));
+    let says = "latency.added_p99_us_by_rate (played up to 900, and no straight line fits it)";
+    assert_eq!((figure.value, figure.basis), (None, Basis::NotMeasured(vec![says.to_owned()])));
+}
+
+#[test]
+fn the_worst_play_goes_before_a_slope() {
+    let plan = plan();
+    let cells = |row: [&str; 3]| row.map(str::to_owned).to_vec();
+    let table = Results {
+        name: "sockets".into(),
+        what: "A test".into(),
+        command: "target/release/scale sockets".into(),
+        commit: "0".into(),
+        columns: cells(["scenario", "seed", "last, ms"]),
+        rows: vec![
+            cells(["relay", "1", "700.5"]),
+            cells(["relay", "2", "900.5"]),
+            cells(["zone", "1", "9000"]),
+        ],
+        note: String::new(),
+    };
+    let mut measured = slopes([slope("control.change_sent_last_ms_by_watchers", &[100.0, 1900.0], |x| x)]);
+    measured.results.insert(table.name.clone(), table);
+    let all = Occasion::all(&plan);
+    let figure = |name: &str| {
+        let on = all.iter().find(|on| on.name == name).unwrap();
+        need(&plan, on, "operator who publishes", Cost::Time).figure(&measured)
+    };
+    let lost = figure("one control machine lost");
+    assert_eq!((lost.value, lost.basis), (Some(0.9005), Basis::Played(2)));
+    assert_eq!(figure("a zone of control machines lost").value, Some(9.0));
+    assert_eq!(figure("ordinary day").basis, Basis::Measured);
+    let unknown = Played { results: "sockets", row: "relay", column: "first, ms", times: 1.0 };
+    let mut without = need(&plan, &all[0], "operator who publishes", Cost::Time);
+    without.played = Some(unknown);
+    assert_eq!(without.figure(&measured).basis, Basis::Measured);
+}
+
 #[test]
 fn every_role_has_a_row_of_each_cost_on_every_occasion() {
     let plan = plan();
@@ -222,7 +300,7 @@
     let plan = plan();
     let all = Occasion::all(&plan);
     let on = all.iter().find(|on| on.name == "all balancers reconnecting").unwrap();
-    let figure = need(&plan, on, "balancer, all its control", Cost::Messages).figure(&Slopes::default());
+    let figure = need(&plan, on, "balancer, all its control", Cost::Messages).figure(&Measured::default());
     let bytes = (285_000.0 + 12_288.0) / 13.0;
     assert!((figure.value.unwrap() - bytes).abs() < 20.0 && figure.ratio.unwrap() > 1.0, "{figure:?}");
     assert!(matches!(figure.basis, Basis::Reckoned(_)), "{figure:?}");
@@ -232,7 +310,7 @@
 fn what_nothing_carries_is_missing_first_and_then_the_largest_ratio() {
     let (plan, tree) = (plan(), Folder::new("ranking"));
     let rows = || -> Vec<String> {
-        let table = ranking(&plan, &Slopes::default(), &tree.0);
+        let table = ranking(&plan, &Measured::default(), &tree.0);
         table.lines().skip(2).map(str::to_owned).collect()
     };
     let has = |file: &str, text: &str| {
@@ -298,6 +376,6 @@
     let slopes = folder.0.join("slopes");
     slope("a.b_by_c", &[1.0, 2.0], |x| x).write(&slopes).unwrap();
     fs::rename(slopes.join("a.b_by_c.json"), slopes.join("a.b_by_d.json")).unwrap();
-    let error = Slopes::read(&slopes).unwrap_err().to_string();
-    assert!(error.contains("a.b_by_d.json: it holds the slope a.b_by_c"), "{error}");
+    let error = Measured::read(&folder.0).unwrap_err().to_string();
+    assert!(error.contains("a.b_by_d.json: it holds a.b_by_c"), "{error}");
 }
