--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -237,8 +237,8 @@
 };
 const CONFIGURATION_CLIENT: Mechanism = Mechanism::Ours {
     what: "`dahliahead` `configuration`, `peathatch` `Event::Reconfigured`",
-    file: "src/interface.rs",
-    sign: "Reconfigured",
+    file: "dahliahead/src/configuration.rs",
+    sign: "pub fn follow(",
 };
 const ORIGIN: Mechanism = Mechanism::Ours {
     what: "`fennelhatch-distribution` `Origin`",
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -330,7 +330,7 @@
     has("crates/distribution/src/host/relay.rs", "pub struct RelayHost");
     has("crates/distribution/src/main.rs", "Publish {");
     assert_eq!(rows()[0], today[0], "no balancer takes it in yet");
-    has("src/interface.rs", "Reconfigured");
+    has("dahliahead/src/configuration.rs", "pub fn follow(");
     let then = rows();
     assert!(then.iter().all(|row| !row.contains("none today") && !row.contains("restarts")), "{then:#?}");
     assert!(then[0].contains("repeats stay bounded"), "{then:#?}");
