Balancer: tests of changes of the settings on real sockets

Need: the change of settings in a serving balancer had no test with sockets. Change: ten tests with a scripted parent: under load, requests in flight over a change of their class, bad and crossing documents, SIGHUP and SIGTERM amid changes, parents out of reach or mute, sixty changes in a row.

--- /dev/null
+++ b/dahliahead/tests/configuration.rs
@@ -0,0 +1,371 @@
+//! Changes of the settings in a serving balancer.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::ChildStderr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::{Value, json};
+
+/// The classes of the file with another one behind them, and this aim.
+fn lanes(aim: f64, more: &[Value]) -> Value {
+    let mut lanes = settings(aim)["lanes"].clone();
+    lanes.as_array_mut().expect("a list").extend_from_slice(more);
+    lanes
+}
+
+fn extra(name: &str) -> Value {
+    json!({"name": name, "onTimeS": 30.0, "hardLimitS": 60.0, "effect": "at_most_once"})
+}
+
+/// Says back what it was asked.
+fn echo() -> Upstream {
+    Upstream::start(|_, message| ok(&String::from_utf8_lossy(&message.body)))
+}
+
+fn configured(known: &[Value], parents: &[SocketAddr]) -> (Balancer, Discovery) {
+    let discovery = Discovery::start();
+    let text = with_parents(&configuration(discovery.address, known, 30.0, 1024), parents);
+    (Balancer::start(&text), discovery)
+}
+
+/// A balancer with these upstreams and one parent that holds nothing yet.
+fn under_parent(upstreams: &[&Upstream]) -> (Balancer, Discovery, Parent, Watch) {
+    let parent = Parent::start();
+    let known: Vec<Value> = (1..)
+        .zip(upstreams)
+        .map(|(number, upstream)| endpoint(&format!("s-{number}"), upstream.address, 0, "ready"))
+        .collect();
+    let (balancer, discovery) = configured(&known, &[parent.address]);
+    let (line, watch) = parent.watch();
+    assert!(
+        line.starts_with(
+            "GET /configuration?follow=1&since=0&scopes=fleet,region/north,service/api&name=n0 "
+        ),
+        "{line}"
+    );
+    watch.holds(0, Vec::new());
+    parent.wait_version("fleet", 0);
+    (balancer, discovery, parent, watch)
+}
+
+/// Guards callers and upstreams through changes under load, 60 in quick succession: each request is answered with its
+/// own answer, and none is lost or runs twice.
+#[test]
+fn sixty_changes_under_load_cost_no_request() {
+    let (first, second) = (echo(), echo());
+    let (balancer, _discovery, parent, watch) = under_parent(&[&first, &second]);
+    let (done, address) = (Arc::new(AtomicBool::new(false)), balancer.address);
+    let callers: Vec<_> = (0..4)
+        .map(|caller| {
+            let done = Arc::clone(&done);
+            thread::spawn(move || {
+                let mut connection = Caller::connect(address);
+                let mut asked = Vec::new();
+                while !done.load(Ordering::Relaxed) {
+                    let (class, body) =
+                        (["order", "pay"][asked.len() % 2], format!("{caller}-{}", asked.len()));
+                    let answer = connection.ask(class, &body);
+                    assert_eq!((answer.status(), answer.body), (200, body.clone().into_bytes()), "{class}");
+                    asked.push(body);
+                }
+                asked
+            })
+        })
+        .collect();
+    for version in 1..=60 {
+        // Classes and tenants come and go, and figures of all kinds change.
+        let scope = ["fleet", "region/north", "service/api"][version as usize % 3];
+        let aim = 20.0 + version as f64 / 10.0;
+        let names: Vec<Value> =
+            (0..version % 5).map(|number| extra(&format!("extra-{version}-{number}"))).collect();
+        let tenant = json!({"name": format!("t-{version}"), "quotaPerS": 5 * version});
+        let change = json!({
+            "lanes": lanes(aim, &names), "projects": [tenant, {"name": "acme"}], "balancers": 1 + version % 3,
+            "caps": {"tryLimit": 1 + version % 4, "keepaliveS": 5 + version % 7, "dialTimeoutS": 4.0},
+            "prices": {"crossZone": 0.01 * version as f64}, "rules": {"coldS": version}});
+        watch.publishes(document(scope, version, &change));
+    }
+    watch.publishes(document("service/api", 61, &json!({"lanes": lanes(30.0, &[extra("last")])})));
+    parent.wait_version("service/api", 61);
+    assert_eq!(balancer.caller().ask("last", "the last").body, b"the last");
+    done.store(true, Ordering::Relaxed);
+    let asked: Vec<String> =
+        callers.into_iter().flat_map(|caller| caller.join().expect("each answer is its own")).collect();
+    assert!(asked.len() > 20, "{}", asked.len());
+    let mut ran: BTreeMap<Vec<u8>, u32> = BTreeMap::new();
+    for (_, request) in first.requests().into_iter().chain(second.requests()) {
+        *ran.entry(request.body).or_default() += 1;
+    }
+    for body in asked {
+        assert_eq!(ran.get(body.as_bytes()), Some(&1), "{body}");
+    }
+}
+
+/// An upstream that says back what it was asked, but breaks the connection under a request `one` after `long`, once it
+/// is let.
+fn breaking(long: Duration, let_go: &Arc<AtomicBool>) -> Upstream {
+    let let_go = Arc::clone(let_go);
+    Upstream::start(move |_, message| {
+        if message.body != b"one" {
+            return ok(&String::from_utf8_lossy(&message.body));
+        }
+        let started = Instant::now();
+        wait_for("it is let go", || {
+            (let_go.load(Ordering::Relaxed) && started.elapsed() >= long).then_some(())
+        });
+        Reply::Last(Vec::new())
+    })
+}
+
+/// Guards the rule on effects: a request in flight that must not run twice does not, though its class is one that may
+/// by the time that it breaks. The next one may.
+#[test]
+fn an_unsafe_request_in_flight_stays_unsafe() {
+    let let_go = Arc::new(AtomicBool::new(false));
+    let upstreams = [breaking(Duration::ZERO, &let_go), breaking(Duration::ZERO, &let_go)];
+    let (balancer, _discovery, parent, watch) = under_parent(&[&upstreams[0], &upstreams[1]]);
+    let runs = || upstreams.iter().map(|upstream| upstream.count_of("one")).sum::<usize>();
+    let mut caller = balancer.caller();
+    caller.send("order", "one");
+    wait_for("it runs", || (runs() == 1).then_some(()));
+    let mut lanes = lanes(30.0, &[]);
+    lanes[2] = json!({"name": "order", "onTimeS": 30.0, "hardLimitS": 60.0, "effect": "deduplicated",
+                      "dedupScope": "all", "windowS": 60.0});
+    watch.publishes(document("fleet", 1, &json!({"lanes": lanes})));
+    parent.wait_version("fleet", 1);
+    let_go.store(true, Ordering::Relaxed);
+    assert_eq!(caller.answer().expect("an answer").status(), 502);
+    assert_eq!(runs(), 1);
+    // Under the rules of now it is tried at the other one, and refused once that broke too.
+    assert_eq!(caller.ask("order", "one").status(), 503);
+    assert_eq!(runs(), 3);
+}
+
+/// Guards the upstreams' memory of keys: the window of a request in flight does not grow under it.
+#[test]
+fn a_keyed_request_in_flight_keeps_its_window() {
+    let window = Duration::from_millis(300);
+    let let_go = Arc::new(AtomicBool::new(false));
+    let upstreams = [breaking(window, &let_go), breaking(window, &let_go)];
+    let (balancer, _discovery, parent, watch) = under_parent(&[&upstreams[0], &upstreams[1]]);
+    let runs = || upstreams.iter().map(|upstream| upstream.count_of("one")).sum::<usize>();
+    let windowed = |seconds: f64| {
+        let mut lanes = lanes(30.0, &[]);
+        lanes[1]["windowS"] = seconds.into();
+        json!({"lanes": lanes})
+    };
+    watch.publishes(document("fleet", 1, &windowed(window.as_secs_f64())));
+    parent.wait_version("fleet", 1);
+    let mut caller = balancer.caller();
+    caller.send("pay", "one");
+    wait_for("it runs", || (runs() == 1).then_some(()));
+    watch.publishes(document("fleet", 2, &windowed(60.0)));
+    parent.wait_version("fleet", 2);
+    let_go.store(true, Ordering::Relaxed);
+    assert_eq!(caller.answer().expect("an answer").status(), 502);
+    assert_eq!(runs(), 1);
+    assert_eq!(caller.ask("pay", "one").status(), 502);
+    assert_eq!(runs(), 3, "tried at the other one within the window of now");
+}
+
+/// Guards what serves: a document with faults changes nothing and is told with its faults, the last good one stays, and
+/// documents of other scopes go on coming into force.
+#[test]
+fn a_bad_document_leaves_the_last_good_one() {
+    let upstream = echo();
+    let (balancer, _discovery, parent, watch) = under_parent(&[&upstream]);
+    let mut caller = balancer.caller();
+    watch.publishes(document("fleet", 1, &json!({"lanes": lanes(30.0, &[extra("good")])})));
+    parent.wait_version("fleet", 1);
+    assert_eq!(caller.ask("good", "one").body, b"one");
+    let mut lanes = lanes(30.0, &[extra("worse")]);
+    lanes[0]["onTimeS"] = json!(-1);
+    lanes[3]["effect"] = json!("none");
+    watch.publishes(document("fleet", 2, &json!({"lanes": lanes})));
+    let report = parent.wait_report("a refusal", |report| !report["refused"].is_null());
+    let why = report["refused"]["why"].as_str().expect("a reason");
+    assert!(why.starts_with("settings.lanes[0].onTimeS: expected a number from 0.000001"), "{why}");
+    assert_eq!(report["refused"]["scope"], "fleet");
+    assert_eq!(report["refused"]["version"], 2);
+    assert_eq!(report["versions"], json!({"fleet": 1, "region/north": 0, "service/api": 0}));
+    assert_eq!(caller.ask("good", "two").body, b"two");
+    // One that is no JSON of settings, and one that is sound: each by itself.
+    watch.publishes(document("region/north", 3, &json!({"zone": "south"})));
+    let report = parent.wait_report("the third", |report| report["refused"]["version"] == 3);
+    assert_eq!(report["refused"]["scope"], "region/north");
+    watch.publishes(document("service/api", 4, &json!({"projects": [{"name": "acme"}, {"name": "new"}]})));
+    let report = parent.wait_version("service/api", 4);
+    assert_eq!(report["versions"], json!({"fleet": 1, "region/north": 0, "service/api": 4}));
+    assert_eq!(report["refused"]["version"], 3, "still told");
+    watch.publishes(document("fleet", 5, &json!({"lanes": self::lanes(30.0, &[extra("better")])})));
+    watch.publishes(document("region/north", 6, &json!({"overShareWorth": 0.2})));
+    let report = parent.wait_version("region/north", 6);
+    assert_eq!(report["versions"], json!({"fleet": 5, "region/north": 6, "service/api": 4}));
+    assert_eq!(report.get("refused"), None);
+    assert_eq!(caller.ask("better", "three").body, b"three");
+    // The class that went is unknown; the connection ends with that answer.
+    assert_eq!(caller.ask("good", "four").status(), 400);
+}
+
+/// Guards against an order of arrival that decides: of two documents that cross, the narrower goes before the wider,
+/// whichever comes last; and one that is withdrawn gives way again.
+#[test]
+fn of_two_that_cross_the_narrower_counts() {
+    let upstream = echo();
+    let wide = |version| document("fleet", version, &json!({"lanes": lanes(30.0, &[extra("wide")])}));
+    let narrow =
+        |version| document("service/api", version, &json!({"lanes": lanes(30.0, &[extra("narrow")])}));
+    for documents in [[wide(1), narrow(2)], [narrow(1), wide(2)]] {
+        let (balancer, _discovery, parent, watch) = under_parent(&[&upstream]);
+        for document in documents.clone() {
+            watch.publishes(document);
+        }
+        parent.wait_report("both", |report| {
+            report["versions"]["fleet"] != 0 && report["versions"]["service/api"] != 0
+        });
+        assert_eq!(balancer.caller().ask("narrow", "one").status(), 200);
+        assert_eq!(balancer.caller().ask("wide", "one").status(), 400);
+        watch.publishes(document("service/api", 3, &Value::Null));
+        parent.wait_version("service/api", 0);
+        assert_eq!(balancer.caller().ask("narrow", "two").status(), 400);
+        assert_eq!(balancer.caller().ask("wide", "two").status(), 200);
+    }
+}
+
+/// Guards a balancer that starts while its region is cut off: it serves by its own file.
+#[test]
+fn with_no_parent_in_reach_the_file_has_to_do() {
+    let upstream = echo();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let (balancer, _discovery) = configured(&known, &[dead_address(), dead_address()]);
+    wait_for("it can serve", || (balancer.health() == 200).then_some(()));
+    assert_eq!(balancer.caller().ask("order", "one").body, b"one");
+}
+
+/// Guards a new process against settings that may be old: it is not sent to before the first word, if that comes soon.
+/// And against a parent that answers and never speaks, which holds up neither that nor a change: the next is asked.
+#[test]
+fn a_parent_that_never_speaks_is_left() {
+    let upstream = echo();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let (silent, other) = (Parent::beating(LONG), Parent::beating(LONG));
+    let started = Instant::now();
+    let (balancer, discovery) = configured(&known, &[silent.address, other.address]);
+    let (_, list) = discovery.watch();
+    list.says(8, false, &[]);
+    // A machine too busy to ask in time proves nothing here, and must not fail the test.
+    let in_time = || started.elapsed() < Duration::from_millis(500);
+    assert!(balancer.health() == 503 || !in_time());
+    wait_for("it can serve", || (balancer.health() == 200).then_some(()));
+    assert!(!in_time(), "before the first word");
+    // Whichever was asked first says nothing; the other one is asked, and then speaks.
+    let first = wait_for("a first watch", || {
+        silent.try_watch().map(|_| &other).or(other.try_watch().map(|_| &silent))
+    });
+    let (_, watch) = first.watch();
+    watch.holds(3, vec![document("fleet", 3, &json!({"lanes": lanes(30.0, &[extra("late")])}))]);
+    first.wait_version("fleet", 3);
+    assert_eq!(balancer.caller().ask("late", "one").body, b"one");
+}
+
+/// Guards the front: the first word that comes in time counts from the first request on.
+#[test]
+fn the_first_word_is_waited_for() {
+    let upstream = echo();
+    let parent = Parent::beating(LONG);
+    let started = Instant::now();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let (balancer, discovery) = configured(&known, &[parent.address]);
+    let (_, list) = discovery.watch();
+    list.says(8, false, &[]);
+    let in_time = || started.elapsed() < Duration::from_millis(500);
+    assert!(balancer.health() == 503 || !in_time());
+    let (_, watch) = parent.watch();
+    watch.holds(9, vec![document("service/api", 9, &json!({"lanes": lanes(30.0, &[extra("first")])}))]);
+    wait_for("it can serve", || (balancer.health() == 200).then_some(()));
+    if in_time() {
+        assert_eq!(balancer.caller().ask("first", "one").body, b"one");
+    }
+}
+
+fn started(
+    parents: &[SocketAddr],
+    upstream: &Upstream,
+) -> (std::process::Child, std::path::PathBuf, Discovery, SocketAddr, BufReader<ChildStderr>) {
+    let discovery = Discovery::start();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let file =
+        write_configuration(&with_parents(&configuration(discovery.address, &known, 30.0, 1024), parents));
+    let mut child = program_on(1024, &file);
+    let (address, log) = address(&mut child);
+    (child, file, discovery, address, log)
+}
+
+/// Guards what is in force against SIGHUP, which moves discovery alone, also between two changes.
+#[test]
+fn a_hangup_between_changes_moves_discovery_alone() {
+    let (upstream, parent) = (echo(), Parent::start());
+    let (mut child, file, discovery, address, _log) = started(&[parent.address], &upstream);
+    let (_, watch) = parent.watch();
+    watch.holds(1, vec![document("fleet", 1, &json!({"lanes": lanes(30.0, &[extra("one")])}))]);
+    parent.wait_version("fleet", 1);
+    let (_, _old) = discovery.watch();
+    let elsewhere = Discovery::start();
+    let known = [endpoint("s-1", upstream.address, 0, "ready")];
+    let text = with_parents(&configuration(elsewhere.address, &known, 30.0, 1024), &[dead_address()]);
+    std::fs::write(&file, text).expect("written");
+    for version in 2..30 {
+        watch.publishes(document("fleet", version, &json!({"lanes": lanes(30.0, &[extra("one")])})));
+        if version == 15 {
+            signal(&child, "-HUP");
+        }
+    }
+    let (_, _new) = elsewhere.watch();
+    parent.wait_version("fleet", 29);
+    assert_eq!(Caller::connect(address).ask("one", "one").body, b"one");
+    signal(&child, "-TERM");
+    assert!(child.wait().expect("ends").success());
+}
+
+/// Guards the end of a balancer: SIGTERM amid changes drains as ever, and what is in flight gets its answer.
+#[test]
+fn a_drain_amid_changes_loses_nothing() {
+    let let_go = Arc::new(AtomicBool::new(false));
+    let gate = Arc::clone(&let_go);
+    let upstream = Upstream::start(move |_, message| {
+        wait_for("it is let go", || gate.load(Ordering::Relaxed).then_some(()));
+        ok(&String::from_utf8_lossy(&message.body))
+    });
+    let parent = Parent::start();
+    let (mut child, _file, _discovery, address, mut log) = started(&[parent.address], &upstream);
+    let (_, watch) = parent.watch();
+    watch.holds(1, vec![document("fleet", 1, &json!({"overShareWorth": 0.3}))]);
+    parent.wait_version("fleet", 1);
+    let mut caller = Caller::connect(address);
+    caller.send("order", "one");
+    upstream.wait_requests(1);
+    for version in 2..40 {
+        // Its class goes, and comes back.
+        let all = lanes(30.0, &[]);
+        let lanes: Vec<Value> =
+            all.as_array().expect("a list").iter().take(2 + version as usize % 2).cloned().collect();
+        watch.publishes(document("fleet", version, &json!({"lanes": lanes})));
+        if version == 20 {
+            signal(&child, "-TERM");
+            wait_line(&mut log, "into the drain");
+        }
+    }
+    let_go.store(true, Ordering::Relaxed);
+    assert_eq!(caller.answer().expect("an answer").body, b"one");
+    drop(caller);
+    assert!(child.wait().expect("ends").success());
+    assert_eq!(upstream.count_of("one"), 1);
+}
