--- a/crates/scale/src/control.rs
+++ b/crates/scale/src/control.rs
@@ -343,7 +343,8 @@
                 }
             })
             .collect();
-        let apart_ms = if self.per_process > 20 { 5 } else { 0 };
+        // Reports come every 5 s from each balancer's start: spread over that, as a fleet's are.
+        let apart_ms = if self.per_process > 20 { 48 } else { 0 };
         let job = Job { list, zones: zone_names(self.plan), apart_ms, balancers: Vec::new() };
         Swarm::start(&balancers, self.per_process, &job)
     }
--- a/crates/scale/src/sockets.rs
+++ b/crates/scale/src/sockets.rs
@@ -82,7 +82,7 @@
     #[arg(long)]
     list: Option<usize>,
     /// Seconds over which the changes come.
-    #[arg(long, default_value_t = 40.0)]
+    #[arg(long, default_value_t = 24.0)]
     seconds: f64,
     /// A quick play for tests: few balancers and changes.
     #[arg(long)]
@@ -143,15 +143,16 @@
         note: format!(
             "Hollow: the balancer's own client of the list with its decisions ({list} entries) and the real client of \
              the configuration, no callers. The list server is a stand-in; a list entry changes every 2 s. Changes come in \
-             bunches over {:.0} s, {} for each at the plan's peak. Times are from the acknowledgement; after a \
+             bunches over {:.0} s, {}. Times are from the acknowledgement; after a \
              cut, of changes made within it, from its end. Bytes are those of the connections, without TCP/IP heads. \
-             Return: {WINDOW_S} s from the fault (from the end of a cut). Memory of a balancer has its part of the \
+             Return: {:.1} s from the fault (from the end of a cut). Memory of a balancer has its part of the \
              process. All processes share one machine.",
-            arguments.seconds,
+            size.seconds,
             format_args!(
-                "{:.0}",
-                changes as f64 / arguments.seconds * 60.0 / plan.configuration.peak_per_minute.value
+                "{:.0} times the plan's peak",
+                changes as f64 / size.seconds * 60.0 / plan.configuration.peak_per_minute.value
             ),
+            return_window(size.seconds).as_secs_f64(),
         ),
     }
     .write(&folder)?;
@@ -596,7 +597,7 @@
     }
 
     // Lists and documents of the start are behind them.
-    play.swarm.hear(play.size.rest)?;
+    play.swarm.hear(play.size.rest / 2)?;
     let rest_from = play.mark()?;
     play.swarm.hear(play.size.rest)?;
     let rest_to = play.mark()?;
@@ -673,6 +674,11 @@
     return_to: Mark,
 }
 
+/// For how long the return is looked at.
+fn return_window(seconds: f64) -> Duration {
+    Duration::from_secs_f64((seconds * 0.35).min(WINDOW_S as f64))
+}
+
 fn play_changes(
     play: &mut Play,
     scenario: Scenario,
@@ -685,7 +691,7 @@
     let after = |part: f64| Duration::from_secs_f64(play.size.seconds * part);
     // The fault comes after a quarter; a cut holds from there for two fifths.
     let (fault, return_at) = (after(0.25), if scenario == Scenario::Cut { after(0.65) } else { after(0.25) });
-    let window = Duration::from_secs_f64((play.size.seconds * 0.35).min(WINDOW_S as f64));
+    let window = return_window(play.size.seconds);
     let list_every = Duration::from_secs(2);
     let (mut list_at, mut done) = (Duration::ZERO, false);
     let (mut begin, mut cut_ns) = (0, None);
