--- a/crates/scale/src/depth.rs
+++ b/crates/scale/src/depth.rs
@@ -1,18 +1,292 @@
 //! Attempts and refusals over the depth of a call, played on the hollow fleet.
+//!
+//! A chain of services, one after another, with one of them in trouble: how many attempts reach its deepest tier for
+//! one call at the front, how many refusals come back up, and what the deadline told leaves down there.
+
+use std::path::PathBuf;
 
 use clap::Args;
 
 use crate::ScaleError;
+use crate::decisions::straight;
+use crate::hollow::topology::Topology;
+use crate::hollow::world::{Play, Report, Trouble, World};
 use crate::plan::Plan;
+use crate::slope::{self, Point, Results, Slope};
 
 /// Attempts and refusals over the depth of a call, played on the hollow fleet.
-#[derive(Debug, Args)]
-pub struct Arguments {}
+#[derive(Debug, Clone, Args)]
+pub struct Arguments {
+    /// A quick version: fewer depths and seeds.
+    #[arg(long)]
+    pub small: bool,
+    /// Seed of every draw; each play takes the next.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Where the folders `slopes` and `results` are.
+    #[arg(long, default_value = "crates/scale")]
+    pub out: PathBuf,
+}
+
+/// Upstreams of each service.
+const SIZE: usize = 8;
+/// Calls a second at the front.
+const RATE: f64 = 400.0;
+/// Virtual seconds of a play, and of a quick one.
+const SECONDS: (f64, f64) = (20.0, 6.0);
+/// MB that a play may use.
+const MEMORY_MB: u64 = 4096;
+
+/// What is wrong with the service in trouble.
+const KINDS: [Trouble; 3] = [Trouble::Failing, Trouble::Silent, Trouble::Halved];
+
+/// A chain with a service in trouble.
+#[derive(Debug, Clone, Copy)]
+pub struct Chain {
+    /// Services one after another.
+    pub depth: usize,
+    /// The service in trouble, from 1 at the front, and what is wrong with it.
+    pub trouble: Option<(usize, Trouble)>,
+    /// Repeats by a client at most.
+    pub repeats: u32,
+    /// All calls may be repeated freely; else the usual parts of them.
+    pub safe: bool,
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Virtual seconds.
+    pub seconds: f64,
+}
+
+/// Figures of one play.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Figures {
+    /// Attempts that left for the service asked about, for one call at the front.
+    pub attempts: f64,
+    /// Calls refused or failed by all balancers together, for one call at the front.
+    pub refusals: f64,
+    /// Of those the ones before the front's own.
+    pub refusals_at_front: f64,
+    /// Time left to a call that comes to the last service of the chain that calls reach, in ms.
+    pub left_ms: f64,
+    /// Part of the calls at the front that were served in time.
+    pub served: f64,
+    /// Attempts at all depths for one call at the front.
+    pub all_attempts: f64,
+}
+
+impl Chain {
+    /// Plays it.
+    ///
+    /// # Errors
+    /// The plan's figures make no settings, or the memory bound is passed.
+    pub fn play(&self, plan: &Plan) -> Result<Report, ScaleError> {
+        let mut plan = plan.clone();
+        plan.graph.depth.value = self.depth;
+        // One tenant: here a call is asked about, not the shares of many.
+        plan.traffic.tenants.value = 1;
+        let topology = Topology::chain(&plan, self.depth, SIZE, RATE);
+        let play = Play {
+            name: format!("a chain of {}", self.depth),
+            seconds: self.seconds,
+            seed: self.seed,
+            memory_mb: MEMORY_MB,
+            script: Vec::new(),
+            cold: false,
+            trouble: self.trouble.map(|(depth, trouble)| (depth - 1, trouble)),
+            repeats: self.repeats,
+            effects: self.safe.then_some((1.0, 0.0)),
+        };
+        World::new(&plan, &topology, &play)?.run()
+    }
+
+    /// What a report says of the service at a depth.
+    #[must_use]
+    pub fn figures(&self, report: &Report, at: usize) -> Figures {
+        let calls: u64 = report.seconds.iter().map(|second| second.calls).sum();
+        let served: u64 = report.seconds.iter().map(|second| second.served).sum();
+        let each = |count: u64| count as f64 / calls.max(1) as f64;
+        let ended: Vec<u64> = report.depths.iter().map(|depth| depth.refused + depth.failed).collect();
+        let deepest = report.depths.iter().rev().find(|depth| depth.calls > 0);
+        Figures {
+            attempts: each(report.depths[at - 1].attempts),
+            refusals: each(ended.iter().sum()),
+            refusals_at_front: each(ended[0]),
+            left_ms: deepest.map_or(0.0, |depth| depth.left_s / depth.calls as f64 * 1e3),
+            served: each(served),
+            all_attempts: each(report.depths.iter().map(|depth| depth.attempts).sum()),
+        }
+    }
+}
 
 /// Does it.
 ///
 /// # Errors
 /// With the place where it went wrong.
-pub fn run(_arguments: &Arguments, _plan: &Plan) -> Result<(), ScaleError> {
-    Ok(())
+pub fn run(arguments: &Arguments, plan: &Plan) -> Result<(), ScaleError> {
+    let small = arguments.small;
+    let seconds = if small { SECONDS.1 } else { SECONDS.0 };
+    let plays = if small { 1 } else { 3 };
+    let longest = plan.graph.depth.value;
+    let depths: Vec<usize> = if small {
+        [1, 2, 6, longest].into_iter().filter(|&depth| depth <= longest).collect()
+    } else {
+        (1..=longest).collect()
+    };
+    let most = plan.traffic.client_repeats.value;
+    let chain = |depth, trouble, repeats, safe, play| Chain {
+        depth,
+        trouble,
+        repeats,
+        safe,
+        seed: arguments.seed + play,
+        seconds,
+    };
+
+    // The slopes: the last service fails each call at once, all calls may be repeated, clients come again.
+    let (mut attempts, mut refusals, mut left) = (Vec::new(), Vec::new(), Vec::new());
+    let mut beside = Vec::new();
+    for &depth in &depths {
+        let mut plays_of: [Vec<f64>; 3] = Default::default();
+        for play in 0..plays {
+            let failing = chain(depth, Some((depth, Trouble::Failing)), most, true, play);
+            let figures = failing.figures(&failing.play(plan)?, depth);
+            let slow = chain(depth, None, most, true, play);
+            let calm = slow.figures(&slow.play(plan)?, depth);
+            for (all, figure) in plays_of.iter_mut().zip([figures.attempts, figures.refusals, calm.left_ms]) {
+                all.push(figure);
+            }
+        }
+        let alone = chain(depth, Some((depth, Trouble::Failing)), 0, true, 0);
+        let alone = alone.figures(&alone.play(plan)?, depth);
+        beside.push(format!("{depth}: {:.2}", alone.attempts));
+        let [a, r, l] = plays_of;
+        let x = depth as f64;
+        attempts.extend(Point::of(x, a));
+        refusals.extend(Point::of(x, r));
+        left.extend(Point::of(x, l));
+    }
+    let setting = format!(
+        "A chain of services of {SIZE} upstreams each, {RATE} calls a second at the front, {seconds} virtual s, each balancer with up to {} attempts",
+        plan.traffic.attempts.value
+    );
+    let failing = "its last service fails each call at once, all calls may be repeated freely";
+    let slopes = [
+        (
+            "depth.attempts_by_depth",
+            "attempts at the deepest service for one call at the front, which fails all of them",
+            "attempts",
+            attempts,
+            format!(
+                "{setting}; {failing}, clients come again up to {most} times (a new call at the front each time). Where clients don't, by depth: {}.",
+                beside.join(", ")
+            ),
+        ),
+        (
+            "depth.refusals_by_depth",
+            "calls that balancers of all depths end as refused or failed, for one call at the front, with the deepest service failing",
+            "calls",
+            refusals,
+            format!("{setting}; {failing}, clients come again up to {most} times."),
+        ),
+        (
+            "depth.deadline_ms_by_depth",
+            "time that is left to a call when it comes to the balancer before the deepest service",
+            "ms",
+            left,
+            format!(
+                "{setting}; nothing is in trouble, all in one zone; clients wait {} s.",
+                plan.traffic.deadline_s.value
+            ),
+        ),
+    ];
+    let command = format!(
+        "target/release/scale depth{} --seed {}",
+        if small { " --small" } else { "" },
+        arguments.seed
+    );
+    let folder = arguments.out.join("slopes");
+    std::fs::create_dir_all(&folder).map_err(|cause| ScaleError::file(&folder, cause))?;
+    for (name, what, unit, points, mut note) in slopes {
+        let fit = straight(&points, &mut note);
+        for point in &points {
+            println!("{name} {}: {:.3} {unit} ({:.3} to {:.3})", point.x, point.y, point.low, point.high);
+        }
+        Slope {
+            name: name.to_owned(),
+            what: what.to_owned(),
+            x_unit: "services in the chain".to_owned(),
+            y_unit: unit.to_owned(),
+            command: command.clone(),
+            commit: slope::commit(),
+            plays: plays as usize,
+            points,
+            fit,
+            note,
+        }
+        .write(&folder)?;
+    }
+
+    // The table: the longest chain, trouble at each depth.
+    let mut rows = Vec::new();
+    let at: Vec<usize> = if small { depths.clone() } else { (1..=longest).collect() };
+    for trouble in KINDS {
+        for &depth in &at {
+            for repeats in [0, most] {
+                let chain = chain(longest, Some((depth, trouble)), repeats, false, 0);
+                let report = chain.play(plan)?;
+                let figures = chain.figures(&report, depth);
+                let calls: u64 = report.seconds.iter().map(|second| second.calls).sum();
+                let per = |count: u64| format!("{:.3}", count as f64 / calls.max(1) as f64);
+                let left = report.depths[depth - 1];
+                rows.push(vec![
+                    kind(trouble).to_owned(),
+                    depth.to_string(),
+                    repeats.to_string(),
+                    format!("{:.3}", figures.attempts),
+                    per(report.depths[longest - 1].attempts),
+                    format!("{:.2}", figures.all_attempts),
+                    format!("{:.3}", figures.refusals),
+                    format!("{:.3}", figures.refusals_at_front),
+                    format!("{:.0}", left.left_s / left.calls.max(1) as f64 * 1e3),
+                    format!("{:.2}", figures.served * 100.0),
+                ]);
+                println!("{}", rows[rows.len() - 1].join("  "));
+            }
+        }
+    }
+    let folder = arguments.out.join("results");
+    std::fs::create_dir_all(&folder).map_err(|cause| ScaleError::file(&folder, cause))?;
+    Results {
+        name: "depth".to_owned(),
+        what: format!("a chain of {longest} services with one in trouble"),
+        command,
+        commit: slope::commit(),
+        columns: [
+            "trouble",
+            "of the service at depth",
+            "repeats by clients at most",
+            "attempts there for a call at the front",
+            "attempts at the deepest service",
+            "attempts at all depths",
+            "calls refused or failed at all depths",
+            "of those at the front",
+            "left of the deadline there, ms",
+            "served in time %",
+        ]
+        .map(str::to_owned)
+        .to_vec(),
+        rows,
+        note: format!(
+            "{setting}; 70% of the calls may be repeated freely, 15% with a key, 15% never. One play of each. failing: each call there is answered with an error at once. silent: no call there is ever answered. halved: half of the upstreams there are lost, and no list says so."
+        ),
+    }
+    .write(&folder)
+}
+
+fn kind(trouble: Trouble) -> &'static str {
+    match trouble {
+        Trouble::Failing => "failing",
+        Trouble::Silent => "silent",
+        Trouble::Halved => "halved",
+    }
 }
--- a/crates/scale/src/hollow/mod.rs
+++ b/crates/scale/src/hollow/mod.rs
@@ -21,7 +21,7 @@
 
 use scenario::{CALM_S, Scenario};
 use topology::Topology;
-use world::{Depth, Minds, Play, Report, Second, World};
+use world::{Depth, Minds, Play, Report, Second, Step, World};
 
 /// Upstreams of a quick version.
 const SMALL: usize = 120;
@@ -146,6 +146,8 @@
     pub upstreams: usize,
     /// Calls a second of the busiest upstream over those of the mean one, as drawn.
     pub busiest_over_mean: f64,
+    /// The part of the calls that find an upstream at each step in the trouble, if some part of the fleet is lost whole.
+    pub reachable: Option<f64>,
 }
 
 /// The plan with so many upstreams, and all that grows with them in proportion.
@@ -183,6 +185,20 @@
     }
     let topology = Topology::draw(plan, reading, seed);
     let (script, trouble) = scenario.script(plan, &topology, seconds, seed);
+    let reachable = script.iter().find_map(|&(_, step)| match step {
+        Step::LoseZone(lost) => Some(topology.reachable(|zone| zone != lost)),
+        Step::Cut(region) => {
+            // Clients on each side have what is on their side.
+            let inside = |zone: usize| topology.region_of[zone] == region;
+            let mut before = 0.0;
+            let here: f64 = (0..).zip(&topology.clients).fold(0.0, |sum, (zone, until)| {
+                let part = until - std::mem::replace(&mut before, *until);
+                if inside(zone) { sum + part } else { sum }
+            });
+            Some(here * topology.reachable(inside) + (1.0 - here) * topology.reachable(|zone| !inside(zone)))
+        }
+        _ => None,
+    });
     let play = Play {
         name: scenario.name().to_owned(),
         seconds,
@@ -196,7 +212,7 @@
     };
     let report = World::new(plan, &topology, &play)?.run()?;
     let upstreams = plan.fleet.upstreams.value;
-    Ok(Played { report, trouble, upstreams, busiest_over_mean: topology.busiest_over_mean() })
+    Ok(Played { report, trouble, upstreams, busiest_over_mean: topology.busiest_over_mean(), reachable })
 }
 
 /// Does it.
@@ -322,7 +338,7 @@
 const KEY: usize = 4;
 
 /// The heads of the table.
-const COLUMNS: [&str; 30] = [
+const COLUMNS: [&str; 33] = [
     "scenario",
     "calls a second read as",
     "upstreams",
@@ -338,6 +354,9 @@
     "failed %",
     "served in time before / in / after the trouble %",
     "worst second: served in time %",
+    "with an upstream at each step in the trouble %",
+    "seconds with under half served in time",
+    "s after the trouble until 99 % of what was served before",
     "median ms",
     "99 in 100 ms",
     "attempts a call by depth",
@@ -360,9 +379,9 @@
     (front). Services have cores for their calls at 60% use after the loss of their largest zone. Cold: 0.3 of the \
     capacity, all of it after 8 s; over 2.8 times what it can do for 1.6 s, as N + 2 root of N + 2 over all balancers, it \
     falls over. Times are shortened: an ordinary day's 7 failures and 420 replacements come in about 35 s, a failed \
-    machine is back after 6 s, a zone after 35% of the run, a region's cut takes 40% of it and not 300 s. Lists come 0.2 \
+    machine is back after 6 s, a zone after 35% of the run, a region's cut takes 30% of it and not 300 s. Lists come 0.2 \
     to 0.5 s late, a silent machine leaves them after 1.5 s. Configuration does not change in these runs. The first 3 s \
-    are not counted but for `cold`. Limits cut, set aside and crowd are read off the operator's vitals each second; set \
+    are not counted but for `cold`. With an upstream at each step: the most that any routing could serve. Limits cut, set aside and crowd are read off the operator's vitals each second; set \
     aside only where no upstream of the list is cold, as both lower the same figure. Where runs were played side by side \
     the wall time is longer than alone.";
 
@@ -387,7 +406,7 @@
 }
 
 fn row(run: &Run, played: &Played, wall_s: f64) -> Vec<String> {
-    let Played { report, trouble, upstreams, busiest_over_mean } = played;
+    let Played { report, trouble, upstreams, busiest_over_mean, reachable } = played;
     let from = if run.scenario == Scenario::Cold { 0.0 } else { CALM_S };
     let all = sum(&report.seconds, from, f64::MAX);
     let phases = [(from, trouble.0), *trouble, (trouble.1, f64::MAX)].map(|(from, until)| {
@@ -401,6 +420,19 @@
         .min_by(|a, b| share(a.1).total_cmp(&share(b.1)));
     let worst = worst
         .map_or("-".to_owned(), |(at, second)| format!("{} at {at} s", percent(second.served, second.calls)));
+    let under_half =
+        report.seconds.iter().filter(|second| second.calls > 0 && 2 * second.served < second.calls).count();
+    // From the first second on after which none falls under it again.
+    let calm = share(&sum(&report.seconds, from, trouble.0));
+    let wanted = 0.99 * if calm.is_nan() { 1.0 } else { calm };
+    let back = || {
+        let low = |(_, second): &(u32, &Second)| second.calls > 0 && share(second) < wanted;
+        let last =
+            (0..).zip(&report.seconds).filter(low).map(|(at, _)| f64::from(at) + 1.0).last().unwrap_or(0.0);
+        let over = last >= report.seconds.len() as f64;
+        if over { "not in the run".to_owned() } else { format!("{:.0}", (last - trouble.1).max(0.0)) }
+    };
+    let back = if trouble.1 < run.seconds { back() } else { "-".to_owned() };
     let by_depth = |figure: &dyn Fn(&Depth) -> String| {
         report.depths.iter().filter(|depth| depth.calls > 0).map(figure).collect::<Vec<_>>().join(" ")
     };
@@ -451,6 +483,9 @@
         percent(all.failed, all.calls),
         phases.join(" / "),
         worst,
+        reachable.map_or("-".to_owned(), |part| format!("{:.2}", part * 100.0)),
+        under_half.to_string(),
+        back,
         format!("{:.0}", report.time(0.5) * 1e3),
         format!("{:.0}", report.time(0.99) * 1e3),
         by_depth(&|depth| format!("{:.3}", each(depth.attempts, depth.calls, 1.0))),
--- a/crates/scale/src/hollow/scenario.rs
+++ b/crates/scale/src/hollow/scenario.rs
@@ -58,10 +58,10 @@
         match self {
             Self::Calm => 20.0,
             Self::Ordinary => 45.0,
-            Self::Replacement => 95.0,
+            Self::Replacement => 85.0,
             Self::Rack => 30.0,
             Self::Zone => 45.0,
-            Self::Region => 40.0,
+            Self::Region => 60.0,
             Self::Cold => 24.0,
         }
     }
@@ -143,7 +143,7 @@
             Self::Region => {
                 let regions = topology.region_of.iter().max().map_or(1, |last| last + 1);
                 let region = upto(regions);
-                let (from, until) = (seconds * 0.2, seconds * 0.6);
+                let (from, until) = (seconds * 0.15, seconds * 0.45);
                 script.push((from, Step::Cut(region)));
                 script.push((until, Step::Heal(region)));
                 (from, until)
--- a/crates/scale/src/hollow/topology.rs
+++ b/crates/scale/src/hollow/topology.rs
@@ -221,6 +221,28 @@
         }
     }
 
+    /// The part of the calls that find an upstream at each step of their chain, where only those of some zones are up.
+    #[must_use]
+    pub fn reachable(&self, up: impl Fn(usize) -> bool) -> f64 {
+        let longer = |than: usize| 1.0 - than.checked_sub(1).map_or(0.0, |at| self.lengths[at]);
+        let parted = |calls: &[(usize, f64)], found: &[f64]| {
+            let mut before = 0.0;
+            calls.iter().fold(0.0, |sum, &(called, until)| {
+                let part = until - before;
+                before = until;
+                sum + part * found[called]
+            })
+        };
+        let mut found = vec![0.0; self.services.len()];
+        for (number, service) in self.services.iter().enumerate().rev() {
+            if service.zones.iter().any(|&zone| up(zone)) {
+                let on = longer(service.depth) / longer(service.depth - 1).max(1e-12);
+                found[number] = 1.0 - on + on * parted(&service.calls, &found);
+            }
+        }
+        parted(&self.entries, &found)
+    }
+
     /// Calls a second of the busiest upstream over those of the mean one, as it is sized.
     #[must_use]
     pub fn busiest_over_mean(&self) -> f64 {
--- /dev/null
+++ b/crates/scale/tests/decisions.rs
@@ -0,0 +1,80 @@
+//! The slopes of the decisions: enough sizes, costs that make sense, and a line only where one holds.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use fennelhatch_scale::decisions::straight;
+use fennelhatch_scale::slope::{Point, Slope};
+
+const NAMES: [&str; 9] = [
+    "decisions.request_ns_by_upstreams",
+    "decisions.list_change_ns_by_upstreams",
+    "decisions.timer_ns_by_upstreams",
+    "decisions.request_ns_by_tenants",
+    "decisions.timer_ns_by_tenants",
+    "decisions.request_ns_by_in_flight",
+    "decisions.bytes_by_upstreams",
+    "decisions.bytes_by_tenants",
+    "decisions.bytes_by_in_flight",
+];
+
+#[test]
+fn each_slope_has_four_sizes_over_a_decade() {
+    let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("decisions");
+    let done = Command::new(env!("CARGO_BIN_EXE_scale"))
+        .args(["--plan", "plan.toml", "decisions", "--small", "--out"])
+        .arg(&out)
+        .output()
+        .expect("the rig starts");
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    for name in NAMES {
+        let slope = Slope::read(&out.join("slopes"), name).expect("written");
+        let sizes: Vec<f64> = slope.points.iter().map(|point| point.x).collect();
+        assert!(sizes.len() >= 4, "{name}: {sizes:?}");
+        assert!(sizes[sizes.len() - 1] >= 10.0 * sizes[0], "{name}: {sizes:?}");
+        for point in &slope.points {
+            assert!(point.y > 0.0 && point.low <= point.y && point.y <= point.high, "{name}: {point:?}");
+        }
+        assert!(slope.fit.is_some() || slope.note.contains("Not a straight line"), "{name}");
+    }
+}
+
+#[test]
+fn more_upstreams_tenants_and_calls_take_more_bytes() {
+    let held = |size: &str| -> u64 {
+        let done = Command::new(env!("CARGO_BIN_EXE_scale"))
+            .args(["--plan", "plan.toml", "decisions", "--hold", size])
+            .output()
+            .expect("the rig starts");
+        assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+        String::from_utf8_lossy(&done.stdout).trim().parse().expect("a number")
+    };
+    let base = held("20,0,0,1000");
+    assert!(held("200,0,0,200") > base);
+    assert!(held("20,100,0,200") > base);
+    assert!(held("20,0,200,200") > base);
+}
+
+#[test]
+fn a_malformed_size_is_named() {
+    for wrong in ["1,2,3", "1,2,3,x"] {
+        let done = Command::new(env!("CARGO_BIN_EXE_scale"))
+            .args(["--plan", "plan.toml", "decisions", "--hold", wrong])
+            .output()
+            .expect("the rig starts");
+        let said = String::from_utf8_lossy(&done.stderr);
+        assert!(!done.status.success() && said.contains("--hold"), "{wrong}: {said}");
+    }
+}
+
+#[test]
+fn a_curve_gets_no_line() {
+    let points = |cost: fn(f64) -> f64| -> Vec<Point> {
+        [1.0, 10.0, 100.0, 1000.0].map(|x| Point { x, y: cost(x), low: cost(x), high: cost(x) }).to_vec()
+    };
+    let mut note = String::new();
+    assert!(straight(&points(|x| 5.0 + 2.0 * x), &mut note).is_some());
+    assert_eq!(note, "");
+    assert!(straight(&points(|x| x * x), &mut note).is_none());
+    assert!(note.contains("size^2.00"), "{note}");
+}
--- /dev/null
+++ b/crates/scale/tests/depth.rs
@@ -0,0 +1,88 @@
+//! Chains of services with one in trouble: repeats stay within their budgets, and the slopes are whole.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use fennelhatch_scale::depth::{Chain, Figures};
+use fennelhatch_scale::hollow::world::{Faults, Trouble};
+use fennelhatch_scale::plan::Plan;
+use fennelhatch_scale::slope::{Results, Slope};
+
+fn plan() -> Plan {
+    Plan::parse(include_str!("../plan.toml")).expect("the plan makes sense")
+}
+
+fn chain(depth: usize, trouble: Option<(usize, Trouble)>) -> Chain {
+    Chain { depth, trouble, repeats: 0, safe: true, seed: 1, seconds: 5.0 }
+}
+
+fn played(chain: Chain, at: usize) -> Figures {
+    let report = chain.play(&plan()).expect("the run ends");
+    assert_eq!(report.faults, Faults::default(), "{chain:?}");
+    chain.figures(&report, at)
+}
+
+#[test]
+fn a_chain_without_trouble_sends_one_attempt_a_tier() {
+    let figures = played(chain(6, None), 6);
+    assert!((figures.attempts - 1.0).abs() < 0.02, "{figures:?}");
+    assert!(figures.served > 0.98, "{figures:?}");
+    assert!(figures.left_ms > 1500.0 && figures.left_ms < 2000.0, "{figures:?}");
+}
+
+#[test]
+fn repeats_at_a_failing_tier_stay_within_their_budgets() {
+    for depth in [1, 3, 6] {
+        let figures = played(chain(depth, Some((depth, Trouble::Failing))), depth);
+        // A balancer has a tenth of an attempt more for each call, and ten saved up; the front denies much at last.
+        let most = 1.1_f64.powi(depth as i32) + 0.5;
+        assert!(figures.attempts > 0.0 && figures.attempts < most, "{depth}: {figures:?}");
+        assert!(figures.all_attempts < most * depth as f64, "{depth}: {figures:?}");
+        assert!(figures.served < 0.01, "{depth}: {figures:?}");
+        assert!(figures.refusals_at_front > 0.9, "{depth}: {figures:?}");
+    }
+}
+
+#[test]
+fn a_halved_tier_still_serves() {
+    let figures = played(chain(4, Some((3, Trouble::Halved))), 3);
+    assert!(figures.served > 0.5, "{figures:?}");
+}
+
+#[test]
+fn nothing_below_a_silent_tier_is_called() {
+    let silent = chain(5, Some((3, Trouble::Silent)));
+    let report = silent.play(&plan()).expect("the run ends");
+    assert_eq!(report.faults, Faults::default());
+    assert_eq!((report.depths[3].calls, report.depths[4].calls), (0, 0));
+    assert!(report.depths[2].reached > 0);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_chain() {
+    let digest = |seed| {
+        let chain = Chain { seed, seconds: 3.0, ..chain(4, Some((2, Trouble::Failing))) };
+        chain.play(&plan()).expect("the run ends").digest
+    };
+    assert_eq!(digest(1), digest(1));
+    assert_ne!(digest(1), digest(2));
+}
+
+#[test]
+fn the_command_writes_its_slopes_and_table() {
+    let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("depth");
+    let done = Command::new(env!("CARGO_BIN_EXE_scale"))
+        .args(["--plan", "plan.toml", "depth", "--small", "--out"])
+        .arg(&out)
+        .output()
+        .expect("the rig starts");
+    assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    for name in ["depth.attempts_by_depth", "depth.refusals_by_depth", "depth.deadline_ms_by_depth"] {
+        let slope = Slope::read(&out.join("slopes"), name).expect("written");
+        let sizes: Vec<f64> = slope.points.iter().map(|point| point.x).collect();
+        assert!(sizes.len() >= 4 && sizes[sizes.len() - 1] >= 10.0 * sizes[0], "{name}: {sizes:?}");
+    }
+    let table = Results::read(&out.join("results"), "depth").expect("written");
+    assert!(table.rows.iter().all(|row| row.len() == table.columns.len()));
+    assert_eq!(table.rows.len(), 3 * 4 * 2);
+}
--- /dev/null
+++ b/crates/scale/tests/hollow.rs
@@ -0,0 +1,189 @@
+//! Small hollow fleets: the same seed gives the same run, no call is lost, and a bad argument ends with its name.
+
+use std::collections::HashSet;
+use std::path::PathBuf;
+use std::process::Command;
+
+use fennelhatch_scale::ScaleError;
+use fennelhatch_scale::hollow::scenario::Scenario;
+use fennelhatch_scale::hollow::topology::Topology;
+use fennelhatch_scale::hollow::wheel::Wheel;
+use fennelhatch_scale::hollow::world::{Faults, Report};
+use fennelhatch_scale::hollow::{Played, Run, play, scaled, sum};
+use fennelhatch_scale::plan::{Plan, Reading};
+use fennelhatch_scale::slope::Results;
+use oorandom::Rand64;
+
+fn plan() -> Plan {
+    Plan::parse(include_str!("../plan.toml")).expect("the plan makes sense")
+}
+
+fn small(scenario: Scenario, seed: u64, seconds: f64) -> Played {
+    let plan = scaled(&plan(), 60).expect("enough upstreams");
+    let run = Run { scenario, reading: Reading::Hops, seed, seconds, memory_mb: 4096 };
+    play(&plan, &run).expect("the run ends")
+}
+
+fn served_in_time(report: &Report, from: f64, until: f64) -> f64 {
+    let all = sum(&report.seconds, from, until);
+    all.served as f64 / all.calls as f64
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    let [one, same, other] = [3, 3, 4].map(|seed| small(Scenario::Ordinary, seed, 8.0).report);
+    assert_eq!(one.digest, same.digest);
+    assert_eq!((one.events, &one.seconds, &one.depths), (same.events, &same.seconds, &same.depths));
+    assert_ne!(one.digest, other.digest);
+}
+
+#[test]
+fn every_call_gets_one_answer_and_no_unsafe_one_runs_twice() {
+    for scenario in Scenario::ALL {
+        for seed in 1..=2 {
+            let report = small(scenario, seed, 12.0).report;
+            assert_eq!(report.faults, Faults::default(), "{scenario:?} with seed {seed}");
+            for second in &report.seconds {
+                let ended = second.served + second.late + second.refused + second.failed;
+                assert_eq!(ended, second.calls, "{scenario:?} with seed {seed}");
+            }
+            let all = sum(&report.seconds, 0.0, f64::MAX);
+            assert!(all.calls > 5000, "{scenario:?} with seed {seed}: {all:?}");
+            // Each attempt ended in some way, but for those of balancers that ended before them.
+            for depth in &report.depths {
+                assert!(depth.ends.iter().sum::<u64>() <= depth.attempts, "{scenario:?}: {depth:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_calm_replacement_pushes_no_cold_upstream_over() {
+    let played = small(Scenario::Replacement, 1, 50.0);
+    assert_eq!(played.report.cold_starts, 60, "each upstream was replaced once");
+    assert_eq!(played.report.pushed_over, 0);
+    let served = served_in_time(&played.report, 3.0, 50.0);
+    assert!(served > 0.95, "{served}");
+}
+
+#[test]
+fn a_cut_swallows_calls_and_its_end_brings_them_back() {
+    let played = small(Scenario::Region, 1, 24.0);
+    let swallowed: u64 = played.report.depths.iter().map(|depth| depth.ends[3] + depth.ends[4]).sum();
+    assert!(swallowed > 0, "no attempt met the cut");
+    let (from, until) = played.trouble;
+    let [before, within] = [(3.0, from), (from, until)].map(|(a, b)| served_in_time(&played.report, a, b));
+    let after = served_in_time(&played.report, until + 4.0, 24.0);
+    assert!(within < before, "{within} within, {before} before");
+    assert!(after > within && after > 0.9, "{after} after, {within} within");
+}
+
+#[test]
+fn a_lost_zone_comes_back_cold() {
+    let played = small(Scenario::Zone, 2, 24.0);
+    assert!(played.report.cold_starts > 0);
+    assert!(played.report.lists > 0);
+    let after = served_in_time(&played.report, played.trouble.1 + 6.0, 24.0);
+    assert!(after > 0.9, "{after}");
+}
+
+#[test]
+fn the_fleet_is_drawn_whole() {
+    let plan = plan();
+    for reading in [Reading::Hops, Reading::Front] {
+        let topology = Topology::draw(&plan, reading, 5);
+        assert_eq!(topology.services.len(), plan.fleet.services.value);
+        let upstreams: usize = topology.services.iter().map(|service| service.zones.len()).sum();
+        assert_eq!(upstreams, plan.fleet.upstreams.value);
+        let mut called: HashSet<usize> = topology.entries.iter().map(|&(entry, _)| entry).collect();
+        for service in &topology.services {
+            for &(below, _) in &service.calls {
+                assert_eq!(topology.services[below].depth, service.depth + 1);
+                called.insert(below);
+            }
+            let last = service.calls.last().map_or(1.0, |&(_, until)| until);
+            assert!((last - 1.0).abs() < 1e-9);
+            assert_eq!(service.calls.is_empty(), service.depth == plan.graph.depth.value);
+        }
+        assert_eq!(called.len(), topology.services.len(), "each service has a caller");
+        let hops: f64 = topology.services.iter().map(|service| service.rate).sum();
+        assert!((hops / plan.hops_per_s(reading) - 1.0).abs() < 0.01, "{hops} calls a second over all hops");
+        let busiest = topology.busiest_over_mean();
+        assert!((1.5..=1.5 * plan.traffic.busiest_over_mean.value).contains(&busiest), "{busiest}");
+    }
+}
+
+#[test]
+fn the_wheel_gives_events_by_time_and_then_as_they_came() {
+    let mut rng = Rand64::new(7);
+    let mut wheel = Wheel::default();
+    let (mut before, mut got, mut put) = (None, 0, 0_u64);
+    for _ in 0..2000 {
+        wheel.push(rng.rand_range(0..3) * rng.rand_range(0..10_000_000_000), put);
+        put += 1;
+    }
+    while let Some((at, number)) = wheel.pop() {
+        assert!(before.is_none_or(|before| (at, number) > before), "{at} {number} after {before:?}");
+        before = Some((at, number));
+        got += 1;
+        if put < 6000 {
+            wheel.push(at + rng.rand_range(0..6_000_000_000), put);
+            put += 1;
+        }
+    }
+    assert_eq!((got, put), (6000, 6000));
+}
+
+#[test]
+fn a_run_past_its_memory_bound_names_the_place() {
+    let plan = scaled(&plan(), 60).expect("enough upstreams");
+    let run = Run { scenario: Scenario::Rack, reading: Reading::Hops, seed: 1, seconds: 6.0, memory_mb: 1 };
+    match play(&plan, &run) {
+        Err(ScaleError::Memory { place, used_mb, bound_mb: 1 }) => {
+            assert!(place.contains("rack at 0.25 s"), "{place}");
+            assert!(used_mb > 1);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn bad_arguments_are_named() {
+    for (wrong, name) in [
+        (&["--upstreams", "3"][..], "--upstreams"),
+        (&["--upstreams", "1000000"], "--upstreams"),
+        (&["--seconds", "1", "--small", "--scenario", "rack"], "--seconds"),
+        (&["--seconds", "NaN", "--small", "--scenario", "rack"], "--seconds"),
+        (&["--seeds", "0"], "--seeds"),
+        (&["--scenario", "flood"], "--scenario"),
+        (&["--reading", "both"], "--reading"),
+        (&["--memory-mb", "1", "--small", "--scenario", "rack"], "rack"),
+    ] {
+        let done = Command::new(env!("CARGO_BIN_EXE_scale"))
+            .args(["--plan", "plan.toml", "hollow", "--out", env!("CARGO_TARGET_TMPDIR")])
+            .args(wrong)
+            .output()
+            .expect("the rig starts");
+        let said = String::from_utf8_lossy(&done.stderr);
+        assert!(!done.status.success() && said.contains(name), "{wrong:?}: {said}");
+    }
+}
+
+#[test]
+fn the_command_writes_a_row_for_each_run() {
+    let out = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("hollow-rows");
+    let _ = std::fs::remove_dir_all(&out);
+    for seed in ["1", "2", "2"] {
+        let done = Command::new(env!("CARGO_BIN_EXE_scale"))
+            .args(["--plan", "plan.toml", "hollow", "--scenario", "rack", "--upstreams", "30"])
+            .args(["--seconds", "5", "--seed", seed, "--out"])
+            .arg(&out)
+            .output()
+            .expect("the rig starts");
+        assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
+    }
+    let results = Results::read(&out.join("results"), "hollow").expect("written");
+    let seeds: Vec<&str> = results.rows.iter().map(|row| row[3].as_str()).collect();
+    assert_eq!(seeds, ["1", "2"], "a run again takes the place of the one before");
+    assert!(results.rows.iter().all(|row| row.len() == results.columns.len()));
+}
