One row for a call over all tiers, and how the rows' bases and the tight rows stand

Need: repeats were shown with each role, and a reader had to look for what doesn't fit. Change: repeats, refusals and the deadline left are one role; blocks of tight rows and of how many figures have which basis.

--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -28,6 +28,8 @@
     Time,
     /// Attempts that one call becomes.
     Repeats,
+    /// Calls that are refused or fail.
+    Refusals,
     /// Processes started anew.
     Restarts,
 }
@@ -43,6 +45,7 @@
             Self::Memory => "memory",
             Self::Time => "time",
             Self::Repeats => "repeats",
+            Self::Refusals => "refusals",
             Self::Restarts => "restarts",
         }
     }
@@ -498,8 +501,9 @@
         let of = |start: &str| self.terms.iter().any(|term| term.slope.starts_with(start));
         match self.cost {
             Cost::Time if of("latency.") => "a core or a queue that fills: the time then rises without bound",
+            Cost::Time if of("depth.") => "work and ways that take longer than assumed",
             Cost::Time => "distance, loss, machines of their own: all was played on one",
-            Cost::Repeats => "several services in trouble at once, clients that repeat more",
+            Cost::Repeats | Cost::Refusals => "several services in trouble at once, clients that repeat more",
             Cost::Restarts => "changes that are more for all, or less",
             Cost::State => "longer entries and documents, calls held longer",
             Cost::Messages if of("control.") => {
@@ -612,6 +616,7 @@
         data_path(plan, on, &mut rows, path, plan.busiest_rate(reading), tenants, upstreams);
         data_path(plan, on, &mut rows, front, plan.front_per_s(reading) / plan.fronts(), tenants, upstreams);
     }
+    all_tiers(plan, on, &mut rows);
     balancer_control(plan, on, &mut rows);
     control_machines(plan, on, &mut rows);
     registrant(plan, &mut rows);
@@ -676,24 +681,49 @@
         &[(slope, Read::At(rate), 1e-3)],
         Some(plan.traffic.added_ms.value),
     );
-    role.requirement = Requirement::Repeats;
+}
+
+fn all_tiers(plan: &Plan, on: &Occasion, rows: &mut Vec<Need>) {
+    let mut role = Role {
+        name: "one call, over all tiers",
+        mechanism: DECISIONS,
+        requirement: Requirement::Repeats,
+        rows,
+    };
     let depth = plan.graph.depth.value as f64;
     let headroom = Some(plan.traffic.headroom.value);
-    let formula =
-        "attempts at the deepest tier for one call at the front; reckoned: attempts to the power of depth";
+    let formula = "attempts at the deepest tier for one call at the front, while that tier fails all; reckoned: attempts to the power of depth";
     if on.trouble {
+        let slope = ("depth.attempts_by_depth", Read::At(depth), 1.0);
+        role.row(Cost::Repeats, formula, "attempts", 0.0, &[slope], headroom).instead =
+            Some(f64::from(plan.traffic.attempts.value).powf(depth));
+        role.row(
+            Cost::Refusals,
+            "calls refused or failed at all tiers for one call at the front, while the deepest fails all",
+            "calls",
+            0.0,
+            &[("depth.refusals_by_depth", Read::At(depth), 1.0)],
+            None,
+        );
+    } else {
         role.row(
             Cost::Repeats,
-            formula,
+            "an attempt at each tier, where nothing is in trouble",
             "attempts",
-            0.0,
-            &[("depth.attempts_by_depth", Read::At(depth), 1.0)],
+            1.0,
+            &[],
             headroom,
-        )
-        .instead = Some(f64::from(plan.traffic.attempts.value).powf(depth));
-    } else {
-        role.row(Cost::Repeats, formula, "attempts", 1.0, &[], headroom);
+        );
+        role.row(Cost::Refusals, "none, where nothing is in trouble", "calls", 0.0, &[], None);
     }
+    role.row(
+        Cost::Time,
+        "what the deadline told leaves to a call before the deepest tier, where nothing is in trouble",
+        "ms",
+        0.0,
+        &[("depth.deadline_ms_by_depth", Read::At(depth), 1.0)],
+        None,
+    );
 }
 
 /// What lists and configuration cost on the wire on an occasion, for so many balancers.
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -16,6 +16,8 @@
 
 const BEGIN: &str = "<!-- generated: ";
 const END: &str = "<!-- end -->";
+/// From which part of its budget on a row is shown among the tight ones.
+const TIGHT: f64 = 0.8;
 /// What gives the figures that follow from the plan alone.
 const PLAN_COMMAND: &str = "target/release/scale plan";
 
@@ -144,6 +146,8 @@
         ("derived", derived_block(plan)),
         ("deal", deal_block(plan)),
         ("ranking", ranking(plan, measured, tree)),
+        ("tight", tight_block(plan, measured, tree)),
+        ("bases", bases_block(plan, measured, tree)),
         ("day", day_block(plan, measured, tree)),
         ("peaks", peaks_block(plan, measured, tree)),
         ("slopes", slopes_block(plan, measured, tree)),
@@ -447,6 +451,63 @@
     )
 }
 
+/// Rows that need most of their budget or more, each on its worst occasion, the largest ratio first.
+fn tight_block(plan: &Plan, measured: &Measured, tree: &Path) -> String {
+    let mut worst: BTreeMap<(&str, Cost), (f64, Need, Figure, &str)> = BTreeMap::new();
+    for occasion in Occasion::all(plan) {
+        for need in needs(plan, &occasion, tree) {
+            let figure = need.figure(measured);
+            let key = (need.role, need.cost);
+            let Some(ratio) = figure.ratio.filter(|&ratio| ratio >= TIGHT) else { continue };
+            if worst.get(&key).is_none_or(|known| known.0 < ratio) {
+                worst.insert(key, (ratio, need, figure, occasion.name));
+            }
+        }
+    }
+    let mut rows: Vec<_> = worst.into_values().collect();
+    rows.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let rows = rows.into_iter().map(|(ratio, need, figure, occasion)| {
+        vec![
+            need.role.to_owned(),
+            need.cost.text().to_owned(),
+            occasion.to_owned(),
+            figure_text(&figure, need.unit),
+            need.budget.map_or("–".to_owned(), show),
+            show(ratio),
+            if ratio > 1.0 { "not met" } else { "met" }.to_owned(),
+            basis_text(&figure.basis),
+        ]
+    });
+    table(&["role", "cost", "its worst occasion", "need", "budget", "ratio", "", "basis"], rows)
+}
+
+/// How many figures, of all rows on all occasions, have which basis.
+fn bases_block(plan: &Plan, measured: &Measured, tree: &Path) -> String {
+    let mut counts = [0; 5];
+    let mut furthest: f64 = 1.0;
+    for occasion in Occasion::all(plan) {
+        for need in needs(plan, &occasion, tree) {
+            counts[match need.figure(measured).basis {
+                Basis::Played(_) => 0,
+                Basis::Measured => 1,
+                Basis::Extrapolated(past) => {
+                    furthest = furthest.max(past);
+                    2
+                }
+                Basis::Reckoned(_) => 3,
+                Basis::NotMeasured(_) => 4,
+            }] += 1;
+        }
+    }
+    let [played, within, past, reckoned, missing] = counts;
+    format!(
+        "Of {} figures, over all rows and occasions, {played} were played as such, {within} are measured, {past} \
+         extrapolated (the furthest {} times past what was played), {reckoned} reckoned and {missing} not measured.\n",
+        counts.iter().sum::<u32>(),
+        show(furthest)
+    )
+}
+
 fn figure_text(figure: &Figure, unit: &str) -> String {
     figure.value.map_or("not measured".to_owned(), |value| format!("{} {unit}", show(value)))
 }
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -95,7 +95,7 @@
         let error = page::run(&folder.arguments(true), &plan).unwrap_err().to_string();
         assert!(error.contains(place), "{place}: {error}");
     };
-    error("CAPACITY.md, block day");
+    error("CAPACITY.md, block bases");
     page::run(&folder.arguments(false), &plan).unwrap();
     page::run(&folder.arguments(true), &plan).unwrap();
     let whole = fs::read_to_string(&path).unwrap();
