--- a/crates/scale/src/latency.rs
+++ b/crates/scale/src/latency.rs
@@ -12,7 +12,8 @@
 use crate::plan::{Plan, Reading};
 use crate::slope::{Fit, Point, Results, Slope, commit};
 use crate::world::{
-    self, Balancer, ByteRelay, Call, Common, Counts, Discovery, End, Played, Times, Upstreams, Usage, Way,
+    self, Balancer, ByteRelay, Call, Common, Counts, Discovery, Distribution, End, Played, Times, Upstreams,
+    Usage, Way,
 };
 
 /// What goes on beside the calls.
@@ -22,6 +23,8 @@
     Nothing,
     /// An entry of the list changes ten times a second.
     List,
+    /// The configuration changes ten times a second.
+    Configuration,
     /// Nothing, and what the added latency is made of is found out.
     MadeOf,
 }
@@ -34,7 +37,8 @@
     /// What goes on beside the calls.
     #[arg(long, value_enum, default_value_t = Beside::Nothing)]
     beside: Beside,
-    /// Calls a second through the balancer, at least two; without it the means and the busiest of both readings of the plan.
+    /// Calls a second through the balancer, at least two; without it the mean and the busiest of a
+    /// balancer in both readings of the plan.
     #[arg(long, value_delimiter = ',')]
     rates: Vec<f64>,
     /// Plays of each rate.
@@ -51,7 +55,7 @@
 
 /// Calls a second at most: one caller's thread carries no more.
 const RATE_MOST: f64 = 10_000.0;
-/// Time between two changes of the list.
+/// Time between two changes.
 const CHANGE_EVERY: Duration = Duration::from_millis(100);
 /// What is left out at the start of each play.
 const WARM: Duration = Duration::from_millis(1000);
@@ -66,7 +70,10 @@
     let wrong = |name, expected: String| Err(ScaleError::Argument { name, expected });
     let mut rates = arguments.rates.clone();
     if rates.is_empty() {
-        for reading in [Reading::Hops, Reading::Front] {
+        // What it is made of takes many plays, so that only the higher reading is looked at.
+        let readings = [Reading::Front, Reading::Hops];
+        let looked_at = if arguments.beside == Beside::MadeOf { &readings[..1] } else { &readings };
+        for &reading in looked_at {
             rates.extend([plan.mean_rate(reading), plan.busiest_rate(reading)]);
         }
     }
@@ -157,7 +164,14 @@
     placement: Placement,
     even: bool,
     relay: bool,
-    changes: bool,
+    changes: Option<Changes>,
+}
+
+/// What changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Changes {
+    List,
+    Configuration,
 }
 
 /// What one play gave.
@@ -207,7 +221,11 @@
             placement: self.placement,
             even: false,
             relay: false,
-            changes: self.arguments.beside == Beside::List,
+            changes: match self.arguments.beside {
+                Beside::List => Some(Changes::List),
+                Beside::Configuration => Some(Changes::Configuration),
+                Beside::Nothing | Beside::MadeOf => None,
+            },
         }
     }
 
@@ -221,8 +239,18 @@
         let beat = Duration::from_secs_f64(self.plan.list.beat_s.value);
         let discovery = Discovery::start(upstreams.entries(), beat)?;
         let settings = world::settings(self.plan, setup.upstreams);
-        let configuration = world::configuration("b0", discovery.address, &upstreams.entries(), &settings);
-        let balancer = Balancer::start(self.program, &configuration, core)?;
+        let mut configuration =
+            world::configuration("b0", discovery.address, &upstreams.entries(), &settings);
+        let distribution = match setup.changes {
+            Some(Changes::Configuration) => {
+                let program = self.arguments.common.program(world::DISTRIBUTION)?;
+                let distribution = Distribution::start(&program, 1)?;
+                configuration["distribution"] = distribution.named();
+                Some(distribution)
+            }
+            _ => None,
+        };
+        let balancer = Balancer::start(self.program, &configuration, core, |_| ())?;
         let relay = if setup.relay { Some(ByteRelay::start(upstreams.addresses.clone())?) } else { None };
         let way = |targets| Way {
             targets,
@@ -241,25 +269,37 @@
         let (played, marks, changes) = thread::scope(|scope| {
             let caller = scope.spawn(|| {
                 let placed = if core_0 { world::hold_to("0") } else { Ok(()) };
-                let played = placed.and_then(|()| world::play(&calls, &ways, first, &progress));
+                let zero = Instant::now() + world::CONNECT_FIRST;
+                let played = placed.and_then(|()| world::play(&calls, &ways, first, zero, &progress));
                 over.store(true, Ordering::Release);
                 played
             });
             let (mut marks, mut changes, began) = (None, 0, Instant::now());
+            let mut published = Ok(0);
             while !over.load(Ordering::Acquire) {
                 thread::sleep(Duration::from_millis(5));
                 if marks.is_none() && progress.load(Ordering::Acquire) >= begins {
                     marks =
                         Some((world::stolen_ms(), Usage::of(balancer.process.id()), upstreams.seen.opened()));
                 }
-                if setup.changes && began.elapsed() > CHANGE_EVERY * (changes as u32 + 1) {
-                    change(&upstreams, &discovery, changes);
+                let Some(kind) = setup.changes else { continue };
+                if began.elapsed() > CHANGE_EVERY * (changes as u32 + 1) {
+                    match (kind, &distribution) {
+                        (Changes::Configuration, Some(distribution)) => {
+                            let (scope, document) = world::configuration_change(self.plan, changes);
+                            published = published.and_then(|_| {
+                                distribution.publish(scope, &format!("change-{changes}"), &document)
+                            });
+                        }
+                        _ => change(&upstreams, &discovery, changes),
+                    }
                     changes += 1;
                 }
             }
-            (caller.join(), marks, changes)
+            (caller.join(), marks, published.map(|_| changes))
         });
         let played = played.map_err(|_| ScaleError::run("calling", "the caller's thread ended"))??;
+        let changes = changes?;
         let Some((stolen, before, opened)) = marks else {
             return Err(ScaleError::run("calling", "the play was over before its start"));
         };
@@ -305,9 +345,11 @@
             ));
         }
         let [p50, p99, p999, direct] = figures;
-        let suffix = if self.arguments.beside == Beside::List { "_list" } else { "" };
-        let while_ =
-            if suffix.is_empty() { "" } else { ", while an entry of the list drains or returns every 0.1 s" };
+        let (suffix, meanwhile) = match self.arguments.beside {
+            Beside::List => ("_list", ", while an entry of the list drains or returns every 0.1 s"),
+            Beside::Configuration => ("_configuration", ", while its configuration changes every 0.1 s"),
+            Beside::Nothing | Beside::MadeOf => ("", ""),
+        };
         let note = format!(
             "The quantile of calls through the balancer less the same quantile of calls that went directly in the same \
              play, each call's time counted from when it was to be sent. One caller's thread, which spins; the same \
@@ -333,7 +375,7 @@
         };
         let mut written = Vec::new();
         for (name, in_words, points) in [("p50", "50", p50), ("p99", "99", p99), ("p999", "99.9", p999)] {
-            let what = format!("Latency that a balancer adds to a call, at {in_words} in 100{while_}.");
+            let what = format!("Latency that a balancer adds to a call, at {in_words} in 100{meanwhile}.");
             written.push(slope(format!("latency.added_{name}_us_by_rate{suffix}"), what, points));
         }
         if suffix.is_empty() {
@@ -346,7 +388,13 @@
     fn command(&self) -> String {
         let beside = self.arguments.beside.to_possible_value();
         let beside = beside.as_ref().map_or("", |value| value.get_name());
-        format!("target/release/scale latency --beside {beside} --seed {}", self.arguments.common.seed)
+        let rates: Vec<String> = self.arguments.rates.iter().map(f64::to_string).collect();
+        let rates = if rates.is_empty() { String::new() } else { format!(" --rates {}", rates.join(",")) };
+        let anywhere = if self.arguments.anywhere { " --anywhere" } else { "" };
+        format!(
+            "target/release/scale latency --beside {beside} --plays {}{rates}{anywhere} --seed {}",
+            self.arguments.plays, self.arguments.common.seed
+        )
     }
 
     /// What the added latency is made of.
--- a/crates/scale/src/process.rs
+++ b/crates/scale/src/process.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::atomic::AtomicUsize;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use clap::{Args, ValueEnum};
 use oorandom::Rand64;
@@ -143,7 +143,7 @@
         let entries = upstreams.entries();
         let settings = world::settings(self.plan, entries.len());
         let configuration = world::configuration("b0", discovery.address, &entries, &settings);
-        Balancer::start(self.program, &configuration, None)
+        Balancer::start(self.program, &configuration, None, |_| ())
     }
 
     fn world(&self, size: usize, calls: usize) -> Result<(Upstreams, Discovery), ScaleError> {
@@ -261,7 +261,13 @@
                 let mut make = |span| -> Result<usize, ScaleError> {
                     let calls = world::paired(&mut rng, 1, self.rate, span, false);
                     let first = upstreams.seen.take_ids(calls.len())?;
-                    let played = world::play(&calls, &ways, first, &AtomicUsize::new(0))?;
+                    let played = world::play(
+                        &calls,
+                        &ways,
+                        first,
+                        Instant::now() + world::CONNECT_FIRST,
+                        &AtomicUsize::new(0),
+                    )?;
                     let counts = Counts::of(&calls, &played, &upstreams.seen, first);
                     if counts.right < counts.calls {
                         return Err(ScaleError::run(
--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -89,6 +89,8 @@
 
 /// The balancer's program.
 pub const BALANCER: &str = "dahliahead";
+/// The distribution's program.
+pub const DISTRIBUTION: &str = "fennelhatch-distribution";
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -510,6 +512,9 @@
            "known": {"index": 1, "snapshot": true, "endpoints": known}, "settings": settings})
 }
 
+/// Hears the lines of a process.
+type Heard = dyn Fn(&str) + Send + Sync;
+
 /// A child process that is ended, by its id, when this is dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -519,25 +524,24 @@
 }
 
 impl Process {
-    /// Starts a program whose lines on standard error are kept and handed to `line` with the time since the start.
+    /// Starts a program whose lines, of both its outputs, are kept and handed to `line` as they come.
     ///
     /// # Errors
     /// It does not start.
-    fn start(
-        mut command: Command,
-        file: Option<PathBuf>,
-        mut line: impl FnMut(&str, Duration) + Send + 'static,
-    ) -> Result<Self, ScaleError> {
-        let began = Instant::now();
-        let started = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+    fn start(mut command: Command, file: Option<PathBuf>, line: Arc<Heard>) -> Result<Self, ScaleError> {
+        let started = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn();
         let mut child = started.map_err(|cause| ScaleError::run(format!("starting {command:?}"), cause))?;
         let log: Arc<Mutex<VecDeque<String>>> = Arc::default();
-        if let Some(stderr) = child.stderr.take() {
-            let log = Arc::clone(&log);
+        let outputs: [Option<Box<dyn Read + Send>>; 2] = [
+            child.stdout.take().map(|output| Box::new(output) as Box<dyn Read + Send>),
+            child.stderr.take().map(|output| Box::new(output) as Box<dyn Read + Send>),
+        ];
+        for output in outputs.into_iter().flatten() {
+            let (log, line) = (Arc::clone(&log), Arc::clone(&line));
             // Ends with the process, whose end closes the pipe.
             thread::spawn(move || {
-                for text in BufReader::new(stderr).lines().map_while(Result::ok) {
-                    line(&text, began.elapsed());
+                for text in BufReader::new(output).lines().map_while(Result::ok) {
+                    line(&text);
                     let mut log = lock(&log);
                     if log.len() == LOG_LINES {
                         log.pop_front();
@@ -549,6 +553,36 @@
         Ok(Self { child, file, log })
     }
 
+    /// Starts a program, and waits until a line of it ends with the address where it listens; tells when that came.
+    ///
+    /// # Errors
+    /// It does not start, or does not come to listen.
+    pub fn listening(
+        command: Command,
+        file: Option<PathBuf>,
+        line: impl Fn(&str) + Send + Sync + 'static,
+    ) -> Result<(Self, SocketAddr, Instant), ScaleError> {
+        let (listens, listening) = mpsc::channel();
+        let place = format!("starting {}", command.get_program().display());
+        let process = Self::start(
+            command,
+            file,
+            Arc::new(move |text| {
+                if let Some((_, address)) = text.rsplit_once(" on ")
+                    && text.contains("listen")
+                    && let Ok(address) = address.trim().parse::<SocketAddr>()
+                {
+                    let _ = listens.send((address, Instant::now()));
+                }
+                line(text);
+            }),
+        )?;
+        let (address, at) = listening.recv_timeout(START_MOST).map_err(|_| {
+            ScaleError::run(place, format!("it does not listen: {}", process.log().join("; ")))
+        })?;
+        Ok((process, address, at))
+    }
+
     /// Its number.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -586,15 +620,18 @@
 }
 
 impl Balancer {
-    /// Starts one with this configuration, on this core alone where one is named, and waits until it serves.
+    /// Starts one with this configuration, on this core alone where one is named, and waits until it serves. `line`
+    /// hears its log.
     ///
     /// # Errors
     /// It does not start, or does not come to serve.
-    pub fn start(program: &Path, configuration: &Value, core: Option<usize>) -> Result<Self, ScaleError> {
-        static NUMBER: AtomicUsize = AtomicUsize::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let name = format!("fennelhatch-scale-{}-{number}.json", std::process::id());
-        let file = std::env::temp_dir().join(name);
+    pub fn start(
+        program: &Path,
+        configuration: &Value,
+        core: Option<usize>,
+        line: impl Fn(&str) + Send + Sync + 'static,
+    ) -> Result<Self, ScaleError> {
+        let file = own_path("balancer.json");
         fs::write(&file, configuration.to_string()).map_err(|cause| ScaleError::file(&file, cause))?;
         let mut command = match core {
             Some(core) => {
@@ -608,29 +645,27 @@
         if let Some(path) = std::env::var_os("PATH") {
             command.env("PATH", path);
         }
-        let (listens, listening) = mpsc::channel();
         let began = Instant::now();
-        let process = Process::start(command, Some(file), move |line, after| {
-            if let Some((_, address)) = line.split_once(" listens on ")
-                && let Ok(address) = address.trim().parse::<SocketAddr>()
-            {
-                let _ = listens.send((address, after));
-            }
-        })?;
-        let failed = |process: &Process, what: &str| ScaleError::run(what, process.log().join("; "));
-        let Ok((address, listens_after)) = listening.recv_timeout(START_MOST) else {
-            return Err(failed(&process, "starting a balancer: it does not listen"));
-        };
+        let (process, address, listened) = Process::listening(command, Some(file), line)?;
         while !health(address) {
             if began.elapsed() > START_MOST {
-                return Err(failed(&process, "starting a balancer: it does not serve"));
+                let cause = format!("it does not serve: {}", process.log().join("; "));
+                return Err(ScaleError::run("starting a balancer", cause));
             }
             thread::sleep(Duration::from_micros(200));
         }
-        Ok(Self { process, address, listens_after, serves_after: began.elapsed() })
+        let serves_after = began.elapsed();
+        Ok(Self { process, address, listens_after: listened - began, serves_after })
     }
 }
 
+/// A path of this process's own among the temporary files.
+fn own_path(name: &str) -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("fennelhatch-scale-{}-{number}-{name}", std::process::id()))
+}
+
 /// Whether a balancer says that it can serve.
 fn health(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect(address) else { return false };
@@ -640,6 +675,109 @@
     asked.is_ok() && stream.read_exact(&mut status).is_ok() && status.ends_with(b"200")
 }
 
+// --- The distribution of configuration ---
+
+/// An origin and relays below it, as processes.
+#[derive(Debug)]
+pub struct Distribution {
+    /// Where the origin listens.
+    pub origin: SocketAddr,
+    /// Where the relays do.
+    pub relays: Vec<SocketAddr>,
+    /// Ended before the folder goes.
+    processes: Vec<Process>,
+    folder: PathBuf,
+}
+
+impl Distribution {
+    /// Starts them.
+    ///
+    /// # Errors
+    /// One does not come to listen.
+    pub fn start(program: &Path, relays: usize) -> Result<Self, ScaleError> {
+        let folder = own_path("origin");
+        let command = |arguments: &[&str]| {
+            let mut command = Command::new(program);
+            command.args(arguments).args(["--listen", "127.0.0.1:0"]);
+            command
+        };
+        let mut origin = command(&["origin"]);
+        origin.arg("--dir").arg(&folder);
+        let (process, address, _) = Process::listening(origin, None, |_| ())?;
+        let mut started = Self { origin: address, relays: Vec::new(), processes: vec![process], folder };
+        for _ in 0..relays {
+            let relay = command(&["relay", "--level", "1", "--parent", &address.to_string()]);
+            let (process, address, _) = Process::listening(relay, None, |_| ())?;
+            started.processes.push(process);
+            started.relays.push(address);
+        }
+        Ok(started)
+    }
+
+    /// What a balancer's configuration names it by.
+    #[must_use]
+    pub fn named(&self) -> Value {
+        let parents: Vec<String> = self.relays.iter().map(SocketAddr::to_string).collect();
+        json!({"parents": parents, "region": "north", "service": "api"})
+    }
+
+    /// Publishes a document, and gives the index of the change once it is acknowledged.
+    ///
+    /// # Errors
+    /// It is refused, or no answer comes.
+    pub fn publish(&self, scope: &str, request: &str, document: &Value) -> Result<u64, ScaleError> {
+        let failed = |cause: String| ScaleError::run(format!("publishing {scope} {document}"), cause);
+        let body = document.to_string();
+        let text = format!(
+            "PUT /configuration/{scope} HTTP/1.1\r\nHost: origin\r\nX-Request-Id: {request}\r\n\
+             Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let mut answer = String::new();
+        let asked = TcpStream::connect(self.origin).and_then(|mut stream| {
+            stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+            stream.write_all(text.as_bytes())?;
+            stream.read_to_string(&mut answer)
+        });
+        asked.map_err(|cause| failed(cause.to_string()))?;
+        let index = answer
+            .split_once("\r\n\r\n")
+            .filter(|_| answer.split(' ').nth(1) == Some("200"))
+            .and_then(|(_, body)| serde_json::from_str::<Value>(body).ok())
+            .and_then(|body| body["index"].as_u64());
+        index.ok_or_else(|| failed(answer))
+    }
+}
+
+impl Drop for Distribution {
+    fn drop(&mut self) {
+        self.processes.clear();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The change of that number: of each scope in turn, and of each kind of setting.
+#[must_use]
+pub fn configuration_change(plan: &Plan, number: usize) -> (&'static str, Value) {
+    let step = (number / 5 % 10) as f64;
+    let (scope, settings) = match number % 5 {
+        0 => ("service/api", json!({"rules": {"coldShare": 0.2 + step / 100.0}})),
+        1 => ("fleet", json!({"caps": {"tryLimit": 2 + number / 5 % 2}})),
+        2 => ("region/north", json!({"prices": {"waste": step / 100.0}})),
+        3 => {
+            let mut lanes = settings(plan, 1)["lanes"].take();
+            lanes[0]["onTimeS"] = json!(plan.traffic.aim_s.value * (1.0 - step / 100.0));
+            ("service/api", json!({"lanes": lanes}))
+        }
+        _ => {
+            let mut projects = settings(plan, 1)["projects"].take();
+            projects[number % plan.traffic.tenants.value]["quotaPerS"] = json!(20_000.0 + step);
+            ("service/api", json!({"projects": projects}))
+        }
+    };
+    (scope, json!({"settings": settings}))
+}
+
 // --- What a process uses ---
 
 /// Processor time and waits of all threads of a process until now.
@@ -825,6 +963,8 @@
     calls
 }
 
+/// How long after its connections are asked for a play may start.
+pub const CONNECT_FIRST: Duration = Duration::from_millis(200);
 /// Calls of a pair lie this far apart at least, so that neither waits for the other on the way.
 const OFFSET_LEAST_S: f64 = 0.001;
 /// And at most this much further.
@@ -851,7 +991,8 @@
 }
 
 /// Makes calls at their times, whatever became of those before: each takes a connection that stands idle, or a new
-/// one. The thread spins, so that its own waking up is no part of what it measures. `progress` counts the calls sent.
+/// one. The play starts at `zero`. The thread spins, so that its own waking up is
+/// no part of what it measures. `progress` counts the calls sent.
 ///
 /// # Errors
 /// A connection that is to stand beforehand does not come up.
@@ -859,6 +1000,7 @@
     calls: &[Call],
     ways: &[Way],
     first_id: usize,
+    zero: Instant,
     progress: &AtomicUsize,
 ) -> Result<Vec<Played>, ScaleError> {
     let mut idle: Vec<Vec<TcpStream>> = Vec::new();
@@ -874,7 +1016,6 @@
     let mut played = vec![lost; calls.len()];
     let mut busy: Vec<Line> = Vec::new();
     let mut next = 0;
-    let zero = Instant::now() + Duration::from_millis(20);
     let by = calls.last().map_or(Duration::ZERO, |call| call.at) + ANSWER_MOST;
     loop {
         let now = Instant::now().saturating_duration_since(zero);
--- /dev/null
+++ b/crates/scale/tests/latency.rs
@@ -0,0 +1,88 @@
+//! `scale latency`: what it writes, and that all calls of it are answered. No test looks at how long something took.
+
+mod common;
+
+use common::{balancer_program, distribution_program, fails_with, scale};
+use fennelhatch_scale::slope::{Results, Slope};
+
+/// Guards the command: each way of playing it writes its slopes, with every call answered by its own upstream.
+#[test]
+fn latency_writes_its_slopes() {
+    let out = common::Folder::new("latency");
+    let (program, path) = (balancer_program(), out.path().to_str().expect("text").to_owned());
+    distribution_program();
+    let program = program.to_str().expect("text");
+    for (beside, suffix) in [("nothing", ""), ("list", "_list"), ("configuration", "_configuration")] {
+        scale(&[
+            "latency",
+            "--small",
+            "--rates",
+            "50,200",
+            "--beside",
+            beside,
+            "--out",
+            &path,
+            "--program",
+            program,
+        ]);
+        for name in ["added_p50", "added_p99", "added_p999"] {
+            let name = format!("latency.{name}_us_by_rate{suffix}");
+            let slope = Slope::read(&out.path().join("slopes"), &name).expect("written");
+            assert_eq!(slope.points.iter().map(|point| point.x).collect::<Vec<_>>(), [50.0, 200.0], "{name}");
+            assert_eq!(
+                slope.note.matches(" 0 not answered rightly, 0 ran twice").count(),
+                2,
+                "{}",
+                slope.note
+            );
+            assert_eq!(slope.note.contains(" 0 changes"), beside == "nothing", "{}", slope.note);
+        }
+    }
+    Slope::read(&out.path().join("slopes"), "latency.direct_p99_us_by_rate").expect("written");
+}
+
+/// Guards the table of what the latency is made of: all ways of each rate, and as many calls on each.
+#[test]
+fn made_of_plays_every_way() {
+    let out = common::Folder::new("made-of");
+    let (program, path) = (balancer_program(), out.path().to_str().expect("text").to_owned());
+    let program = program.to_str().expect("text");
+    scale(&[
+        "latency",
+        "--small",
+        "--rates",
+        "50,200",
+        "--beside",
+        "made-of",
+        "--out",
+        &path,
+        "--program",
+        program,
+    ]);
+    let table = Results::read(&out.path().join("results"), "latency_made_of").expect("written");
+    let calls = |rate: &str, part: &str| {
+        let row = table.rows.iter().find(|row| row[0] == rate && row[1] == part).expect("a row");
+        row[5].parse::<u64>().expect("a count")
+    };
+    for rate in ["50", "200"] {
+        let direct = calls(rate, "direct");
+        let through = calls(rate, "through the balancer");
+        // The first calls of a play are left out, which may part a pair.
+        assert!(direct > 0 && direct.abs_diff(through) <= 3, "{direct} {through}");
+        assert!(calls(rate, "through a relay of bytes").abs_diff(direct) <= 3);
+        let kept = calls(rate, "of these on kept connections");
+        assert_eq!(kept + calls(rate, "of these on new connections"), through);
+    }
+}
+
+/// Guards bad arguments: they end with the place.
+#[test]
+fn bad_arguments_end_with_their_place() {
+    let program = balancer_program();
+    let program = program.to_str().expect("text");
+    fails_with(&["latency", "--rates", "50", "--program", program], "--rates: ");
+    fails_with(&["latency", "--rates", "50,1000000", "--program", program], "--rates: ");
+    fails_with(&["latency", "--plays", "0", "--program", program], "--plays: ");
+    fails_with(&["latency", "--upstreams", "0", "--program", program], "--upstreams: ");
+    fails_with(&["latency", "--beside", "noise", "--program", program], "--beside");
+}
--- /dev/null
+++ b/crates/scale/tests/process.rs
@@ -0,0 +1,162 @@
+//! The small world that real processes are played in, and `scale process` itself. Verdicts are counts; no test looks at
+//! how long something took.
+
+use std::fs;
+use std::net::TcpStream;
+use std::path::Path;
+use std::sync::atomic::AtomicUsize;
+use std::time::{Duration, Instant};
+
+use fennelhatch_scale::slope::Slope;
+use fennelhatch_scale::world::{
+    self, Balancer, Call, Class, Counts, Discovery, End, Played, Upstreams, Usage, Way,
+};
+
+mod common;
+
+use common::{balancer_program, fails_with, plan, scale};
+
+fn way(targets: Vec<std::net::SocketAddr>, warm: usize) -> Way {
+    Way { targets, warm, deadline: Duration::from_secs(2), tenants: 1 }
+}
+
+fn play(calls: &[Call], ways: &[Way], first: usize) -> Vec<Played> {
+    let zero = Instant::now() + world::CONNECT_FIRST;
+    world::play(calls, ways, first, zero, &AtomicUsize::new(0)).expect("connections come up")
+}
+
+/// Guards that calls are sent at their times whatever became of those before: a stand-in that stalls once holds up
+/// every call that was to be sent in that time, and each is counted from when it was to be sent.
+#[test]
+fn a_stall_shows_in_every_call_it_held_up() {
+    let upstreams = Upstreams::start(1, 1, 300).expect("starts");
+    let call = |number: u64| Call {
+        at: Duration::from_millis(number),
+        way: 0,
+        class: Class::Read,
+        pair: number as usize,
+    };
+    let calls: Vec<Call> = (0..300).map(call).collect();
+    let first = upstreams.seen.take_ids(calls.len()).expect("so many");
+    let stall = Duration::from_millis(100);
+    upstreams.seen.stall(first + 100, stall);
+    // Two connections: callers that waited for answers would have two late calls.
+    let played = play(&calls, &[way(upstreams.addresses.clone(), 2)], first);
+    assert!(played.iter().all(Played::is_right));
+    let late = calls.iter().zip(&played).filter(|(call, played)| played.latency(call) >= stall / 2).count();
+    // Those of its first half wait for half of it at least; one or two may have been read before it.
+    assert!(late >= 45, "{late} of 50");
+    assert!(played[101..145].iter().zip(&calls[101..145]).all(|(played, call)| played.sent >= call.at));
+}
+
+/// Guards what the verdicts rest on: what ran twice, ran unasked or never came is not counted as right.
+#[test]
+fn each_call_is_counted_at_both_ends() {
+    let upstreams = Upstreams::start(2, 1, 40).expect("starts");
+    let classes = [Class::Read, Class::Order];
+    let calls: Vec<Call> = (0..10)
+        .map(|number| Call { at: Duration::ZERO, way: 0, class: classes[number % 2], pair: number })
+        .collect();
+    let ways = [way(upstreams.addresses.clone(), 4)];
+    let first = upstreams.seen.take_ids(10).expect("so many");
+    let played = play(&calls, &ways, first);
+    let counts = Counts::of(&calls, &played, &upstreams.seen, first);
+    assert_eq!(counts, Counts { calls: 10, right: 10, ..Counts::default() });
+
+    // The same ids once more.
+    let again = play(&calls, &ways, first);
+    let counts = Counts::of(&calls, &again, &upstreams.seen, first);
+    assert_eq!(counts, Counts { calls: 10, right: 10, twice: 5, repeated: 5, ..Counts::default() });
+
+    // Ids that never ran, with answers that say otherwise.
+    let unseen = upstreams.seen.take_ids(10).expect("so many");
+    let counts = Counts::of(&calls, &played, &upstreams.seen, unseen);
+    assert_eq!(counts, Counts { calls: 10, wrong: 10, ..Counts::default() });
+
+    // Refused though they ran; lost.
+    let mut ended = played;
+    ended[0].end = End::Refused;
+    ended[1].end = End::Lost;
+    let counts = Counts::of(&calls, &ended, &upstreams.seen, first);
+    assert_eq!((counts.right, counts.wrong, counts.lost, counts.refused), (8, 1, 1, 0));
+    assert!(upstreams.seen.take_ids(11).is_err());
+}
+
+/// Guards the pairing: each call once on every way, in order of time, the same for the same seed.
+#[test]
+fn pairs_are_whole_and_drawn_by_the_seed() {
+    let draw = |seed| {
+        let mut rng = oorandom::Rand64::new(seed);
+        world::paired(&mut rng, 3, 500.0, Duration::from_secs(2), false)
+    };
+    let calls = draw(1);
+    assert!(calls.is_sorted_by_key(|call| call.at));
+    assert_eq!((&calls, false), (&draw(1), calls == draw(2)));
+    let pairs = calls.len() / 3;
+    for pair in 0..pairs {
+        let mut ways: Vec<usize> =
+            calls.iter().filter(|call| call.pair == pair).map(|call| call.way).collect();
+        ways.sort_unstable();
+        assert_eq!(ways, [0, 1, 2], "{pair}");
+    }
+    // A thousand are expected; five deviations of a Poisson draw are 158.
+    assert!((842..1158).contains(&pairs), "{pairs}");
+}
+
+/// Guards the process: it serves, what it uses can be read, and it is ended by its id when it is let go.
+#[test]
+fn a_balancer_serves_and_is_ended() {
+    let upstreams = Upstreams::start(3, 1, 200).expect("starts");
+    let discovery = Discovery::start(upstreams.entries(), Duration::from_millis(500)).expect("starts");
+    let settings = world::settings(&plan(), 3);
+    let configuration = world::configuration("b0", discovery.address, &upstreams.entries(), &settings);
+    let balancer = Balancer::start(&balancer_program(), &configuration, None, |_| ()).expect("serves");
+    let id = balancer.process.id();
+    let before = Usage::of(id).expect("there");
+    let mut rng = oorandom::Rand64::new(7);
+    let calls = world::paired(&mut rng, 1, 200.0, Duration::from_millis(500), false);
+    let first = upstreams.seen.take_ids(calls.len()).expect("so many");
+    let mut way = way(vec![balancer.address], 4);
+    way.tenants = plan().traffic.tenants.value;
+    let played = play(&calls, &[way], first);
+    let counts = Counts::of(&calls, &played, &upstreams.seen, first);
+    assert_eq!(counts, Counts { calls: calls.len(), right: calls.len(), ..Counts::default() });
+    assert!(Usage::of(id).expect("there").since(before).cpu_ns > 0);
+    assert!(world::memory_kb(id).expect("there") > 0);
+    assert!(balancer.listens_after <= balancer.serves_after);
+    let address = balancer.address;
+    drop(balancer);
+    assert!(!Path::new(&format!("/proc/{id}")).exists());
+    assert!(TcpStream::connect(address).is_err());
+}
+
+/// Guards a start that fails: the error has the program's own words, and nothing is left of it.
+#[test]
+fn a_balancer_that_does_not_start_is_told_with_its_reason() {
+    let upstreams = Upstreams::start(1, 1, 0).expect("starts");
+    let mut settings = world::settings(&plan(), 1);
+    settings["lanes"] = serde_json::json!([]);
+    let configuration = world::configuration("b0", upstreams.addresses[0], &upstreams.entries(), &settings);
+    let error = Balancer::start(&balancer_program(), &configuration, None, |_| ()).expect_err("no class");
+    assert!(error.to_string().contains("class"), "{error}");
+}
+
+/// Guards the command: its slopes are written with all sizes, and bad arguments name their place.
+#[test]
+fn process_writes_its_slopes() {
+    let out = common::Folder::new("process");
+    let program = balancer_program();
+    let program = program.to_str().expect("text");
+    let path = out.path().to_str().expect("text");
+    scale(&["process", "--small", "--out", path, "--program", program]);
+    for name in ["memory_kb", "start_ms", "request_us", "idle_core"] {
+        let slope = Slope::read(&out.path().join("slopes"), &format!("process.{name}_by_upstreams"))
+            .expect("written");
+        assert_eq!((slope.points.len(), slope.plays), (2, 1), "{name}");
+    }
+    assert!(fs::read_dir(out.path().join("results")).expect("there").next().is_none());
+    fails_with(&["process", "--program", "/nowhere/at/all"], "--program: no program at /nowhere/at/all");
+    fails_with(&["process", "--sizes", "7", "--program", program], "--sizes: ");
+    fails_with(&["process", "--plays", "0", "--program", program], "--plays: ");
+    fails_with(&["process", "--rate", "0", "--program", program], "--rate: ");
+}
