--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -40,9 +40,10 @@
     /// Changes of each kind, in blocks of ten with as long a time without any before each.
     #[arg(long, default_value_t = 50)]
     changes: usize,
-    /// Time between two changes, in seconds.
-    #[arg(long, default_value_t = 0.4)]
-    every: f64,
+    /// Time between two changes, in seconds; without it 0.3 for the list, and for configuration that of the plan's busiest
+    /// minute.
+    #[arg(long)]
+    every: Option<f64>,
     /// Calls a second through each balancer; without it the mean, where the plan's calls are those over all hops.
     #[arg(long)]
     rate: Option<f64>,
@@ -58,6 +59,10 @@
 const BLOCK: usize = 10;
 /// Calls a second at most: one caller's thread carries no more.
 const RATE_MOST: f64 = 5000.0;
+/// Stand-in upstreams of direct calls.
+const DIRECT: usize = 8;
+/// Time between two changes of the list, in seconds.
+const LIST_EVERY_S: f64 = 0.3;
 /// Connections of callers to each balancer that stand beforehand.
 const CALLERS: usize = 8;
 
@@ -77,7 +82,7 @@
     if !(1..=1000).contains(&arguments.changes) {
         return wrong("changes", "1 to 1000".to_owned());
     }
-    if !(0.01..=60.0).contains(&arguments.every) {
+    if !(0.01..=60.0).contains(&arguments.every.unwrap_or(LIST_EVERY_S)) {
         return wrong("every", "0.01 to 60 s".to_owned());
     }
     if !(2..=2000).contains(&arguments.upstreams) {
@@ -88,7 +93,6 @@
         return wrong("rate", format!("1 to {RATE_MOST} a second, over all balancers"));
     }
     let (_, results) = arguments.common.folders()?;
-    let every = Duration::from_secs_f64(if small { 0.03 } else { arguments.every });
     let mut rng = Rand64::new(u128::from(arguments.common.seed));
     let kinds = match arguments.what {
         What::Both => vec![What::List, What::Configuration],
@@ -96,6 +100,9 @@
     };
     let (mut rows, mut bad) = (Vec::new(), Counts::default());
     for what in kinds {
+        let usual =
+            if what == What::List { LIST_EVERY_S } else { 60.0 / plan.configuration.peak_per_minute.value };
+        let every = Duration::from_secs_f64(if small { 0.03 } else { arguments.every.unwrap_or(usual) });
         let setup = Setup { arguments, plan, what, balancers, changes, every, rate };
         let played = setup.play(&mut rng)?;
         bad = bad.and(played.counts);
@@ -105,7 +112,8 @@
         name: "real".to_owned(),
         what: "Real balancers under load through changes of the list and of configuration.".to_owned(),
         command: format!(
-            "target/release/scale real --balancers {balancers} --changes {changes} --seed {}",
+            "target/release/scale real --balancers {balancers} --changes {changes}{} --seed {}",
+            arguments.every.map_or(String::new(), |every| format!(" --every {every}")),
             arguments.common.seed
         ),
         commit: commit(),
@@ -113,13 +121,12 @@
         rows,
         note: format!(
             "{rate:.0} calls a second over all balancers at drawn times, each beside a direct call in the same play; \
-             {} stand-in upstreams, which answer at once and count each call by its id. Blocks of {BLOCK} changes, one \
-             every {:.2} s, alternate with blocks of the same length without any. A change of configuration is in force \
+             {} stand-in upstreams, which answer at once and count each call by its id. Blocks of {BLOCK} changes, told how far \
+             apart, alternate with blocks of the same length without any. A change of configuration is in force \
              when the balancer's log says so, counted from before it is published to the origin, over one of two relays; \
-             an entry that drains is when the last call has come to its upstream. Added: the quantile through the \
+             a drain is when the last call has come to its upstream, 0 where none came after it was published. Added: the quantile through the \
              balancers less that of direct calls, in us; the blocks without changes have the spread that is told.",
             arguments.upstreams,
-            every.as_secs_f64(),
         ),
     };
     for row in &table.rows {
@@ -134,10 +141,11 @@
     Ok(())
 }
 
-const COLUMNS: [&str; 17] = [
+const COLUMNS: [&str; 18] = [
     "changes of",
     "balancers",
     "changes",
+    "s between two",
     "calls",
     "answered rightly",
     "refused, not run",
@@ -209,9 +217,12 @@
         for call in calls.iter_mut().filter(|call| call.way > 0) {
             call.way = 1 + rng.rand_range(0..self.balancers as u64) as usize;
         }
-        let upstreams = Upstreams::start(self.arguments.upstreams, 2, calls.len())?;
+        // Direct calls go to some that no list has, so that a call to one that drains is a balancer's.
+        let listed = self.arguments.upstreams;
+        let upstreams = Upstreams::start(listed + DIRECT, 2, calls.len())?;
+        let entries = &upstreams.entries()[..listed];
         let beat = Duration::from_secs_f64(self.plan.list.beat_s.value);
-        let discovery = Discovery::start(upstreams.entries(), beat)?;
+        let discovery = Discovery::start(entries.to_vec(), beat)?;
         let distribution = match self.what {
             What::Configuration => {
                 Some(Distribution::start(&self.arguments.common.program(world::DISTRIBUTION)?, 2)?)
@@ -223,8 +234,7 @@
         let mut balancers = Vec::new();
         for number in 0..self.balancers {
             let name = format!("b{number}");
-            let mut configuration =
-                world::configuration(&name, discovery.address, &upstreams.entries(), &settings);
+            let mut configuration = world::configuration(&name, discovery.address, entries, &settings);
             configuration["settings"]["me"] = number.into();
             configuration["seed"] = format!("{:x}", 0x8c1f + number).into();
             if let Some(distribution) = &distribution {
@@ -245,7 +255,7 @@
             deadline: Duration::from_secs_f64(self.plan.traffic.deadline_s.value),
             tenants: self.plan.traffic.tenants.value,
         };
-        let mut ways = vec![way(upstreams.addresses.clone(), 64)];
+        let mut ways = vec![way(upstreams.addresses[listed..].to_vec(), 64)];
         ways.extend(balancers.iter().map(|balancer| way(vec![balancer.address], CALLERS)));
         let first = upstreams.seen.take_ids(calls.len())?;
         let zero = Instant::now() + world::CONNECT_FIRST * 2;
@@ -302,7 +312,7 @@
                 let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
                 discovery.change(upstream, upstreams.entry(upstream, "ready", now.as_millis() as u64));
             } else {
-                let upstream = number / 2 % upstreams.addresses.len();
+                let upstream = number / 2 % self.arguments.upstreams;
                 discovery.change(upstream, upstreams.entry(upstream, "draining", 0));
                 drains = Some((upstream, at));
             }
@@ -388,6 +398,7 @@
             if setup.what == What::List { "the list" } else { "configuration" }.to_owned(),
             setup.balancers.to_string(),
             setup.changes.to_string(),
+            format!("{:.2}", setup.every.as_secs_f64()),
             counts.calls.to_string(),
             counts.right.to_string(),
             counts.refused.to_string(),
