--- a/crates/scale/src/latency.rs
+++ b/crates/scale/src/latency.rs
@@ -58,7 +58,7 @@
 /// Time between two changes.
 const CHANGE_EVERY: Duration = Duration::from_millis(100);
 /// What is left out at the start of each play.
-const WARM: Duration = Duration::from_millis(1000);
+const WARM: Duration = Duration::from_millis(700);
 /// Connections of callers that stand beforehand.
 const CALLERS: usize = 256;
 
@@ -152,8 +152,8 @@
 
 /// Seconds of a play: longer where calls are few.
 fn span(rate: f64, small: bool) -> Duration {
-    let calls = if small { 100.0 } else { 6000.0 };
-    Duration::from_secs_f64((calls / rate).clamp(if small { 0.2 } else { 5.0 }, 15.0))
+    let calls = if small { 100.0 } else { 3000.0 };
+    Duration::from_secs_f64((calls / rate).clamp(if small { 0.2 } else { 3.0 }, 7.0))
 }
 
 /// One play.
@@ -397,9 +397,31 @@
         )
     }
 
+    /// What runs by itself: the watch, the decisions' timers, the sweeps of connections, the log.
+    fn timers(&self) -> Result<Vec<String>, ScaleError> {
+        let upstreams = Upstreams::start(self.arguments.upstreams, 1, 0)?;
+        let discovery =
+            Discovery::start(upstreams.entries(), Duration::from_secs_f64(self.plan.list.beat_s.value))?;
+        let settings = world::settings(self.plan, self.arguments.upstreams);
+        let configuration = world::configuration("b0", discovery.address, &upstreams.entries(), &settings);
+        let balancer = Balancer::start(self.program, &configuration, None, |_| ())?;
+        let span = Duration::from_secs(if self.arguments.common.small { 1 } else { 6 });
+        thread::sleep(span / 6);
+        let before = Usage::of(balancer.process.id())?;
+        thread::sleep(span);
+        let used = Usage::of(balancer.process.id())?.since(before);
+        let tells = format!(
+            "woken {:.1} times a second, {:.0} us of a core each time: {:.3} in 100 of all time",
+            used.slices as f64 / span.as_secs_f64(),
+            used.cpu_ns as f64 / 1000.0 / used.slices.max(1) as f64,
+            used.cpu_ns as f64 * 100.0 / span.as_nanos() as f64,
+        );
+        Ok(["0", "timers at rest", "-", "-", "-", "0", &tells].map(str::to_owned).to_vec())
+    }
+
     /// What the added latency is made of.
     fn made_of(&mut self, rates: &[f64]) -> Result<Results, ScaleError> {
-        let mut rows = Vec::new();
+        let mut rows = vec![self.timers()?];
         for &rate in rates {
             let plain = Setup { relay: true, ..self.setup(rate) };
             let play = self.play(&plain)?;
