End the start of a balancer at once where its process has ended

The test of a start that fails took the whole 20 s of patience. The test of counts reckoned with fewer ids than it had asked for: 30 are there now, so that 31 are refused, as it meant.

--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -583,6 +583,11 @@
         Ok((process, address, at))
     }
 
+    /// Whether it has ended by itself.
+    fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Its number.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -646,9 +651,9 @@
             command.env("PATH", path);
         }
         let began = Instant::now();
-        let (process, address, listened) = Process::listening(command, Some(file), line)?;
+        let (mut process, address, listened) = Process::listening(command, Some(file), line)?;
         while !health(address) {
-            if began.elapsed() > START_MOST {
+            if process.has_ended() || began.elapsed() > START_MOST {
                 let cause = format!("it does not serve: {}", process.log().join("; "));
                 return Err(ScaleError::run("starting a balancer", cause));
             }
--- a/crates/scale/tests/process.rs
+++ b/crates/scale/tests/process.rs
@@ -52,7 +52,7 @@
 /// Guards what the verdicts rest on: what ran twice, ran unasked or never came is not counted as right.
 #[test]
 fn each_call_is_counted_at_both_ends() {
-    let upstreams = Upstreams::start(2, 1, 40).expect("starts");
+    let upstreams = Upstreams::start(2, 1, 30).expect("starts");
     let classes = [Class::Read, Class::Order];
     let calls: Vec<Call> = (0..10)
         .map(|number| Call { at: Duration::ZERO, way: 0, class: classes[number % 2], pair: number })
