Hold the second play of real balancers to as many cores as the first

The cores were counted anew after the first play had been held to all but one, so that the trial's changes of configuration were played on six cores instead of seven.

--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -92,6 +92,10 @@
     if !(1.0..=RATE_MOST).contains(&rate) {
         return wrong("rate", format!("1 to {RATE_MOST} a second, over all balancers"));
     }
+    let cores = thread::available_parallelism().map_or(1, usize::from);
+    if cores < 2 && !arguments.anywhere && !small {
+        return wrong("anywhere", "needed with one core".to_owned());
+    }
     let (_, results) = arguments.common.folders()?;
     let mut rng = Rand64::new(u128::from(arguments.common.seed));
     let kinds = match arguments.what {
@@ -103,7 +107,7 @@
         let usual =
             if what == What::List { LIST_EVERY_S } else { 60.0 / plan.configuration.peak_per_minute.value };
         let every = Duration::from_secs_f64(if small { 0.03 } else { arguments.every.unwrap_or(usual) });
-        let setup = Setup { arguments, plan, what, balancers, changes, every, rate };
+        let setup = Setup { arguments, plan, cores, what, balancers, changes, every, rate };
         let played = setup.play(&mut rng)?;
         bad = bad.and(played.counts);
         rows.push(played.row(&setup)?);
@@ -165,6 +169,8 @@
 struct Setup<'a> {
     arguments: &'a Arguments,
     plan: &'a Plan,
+    /// Of the machine; counted before a thread is held to some of them.
+    cores: usize,
     what: What,
     balancers: usize,
     changes: usize,
@@ -208,10 +214,9 @@
 
     fn play(&self, rng: &mut Rand64) -> Result<Outcome, ScaleError> {
         let program = self.arguments.common.program(world::BALANCER)?;
-        let cores = thread::available_parallelism().map_or(1, usize::from);
         let apart = !self.arguments.anywhere && !self.arguments.common.small;
         if apart {
-            world::hold_to(&format!("1-{}", cores.max(2) - 1))?;
+            world::hold_to(&format!("1-{}", self.cores - 1))?;
         }
         let mut calls = world::paired(rng, 2, self.rate, self.length(), false);
         for call in calls.iter_mut().filter(|call| call.way > 0) {
