Name the type of the decisions' rows of slopes, which clippy finds too complex

Cause: clippy's type_complexity on two tables of crates/scale/src/decisions.rs. Change: the slices of sizes have a name.

--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -93,7 +93,8 @@
     let tenants_usual = usual.replace("no tenants, ", "");
     let timing = "Wall time of tight loops with the machine alone.";
     type Cost = fn(&Plan, Size, u64, bool) -> Result<f64, ScaleError>;
-    let timed: [(&str, &str, &str, &[(usize, Size)], Cost, &str); 6] = [
+    type Sizes<'a> = &'a [(usize, Size)];
+    let timed: [(&str, &str, &str, Sizes<'_>, Cost, &str); 6] = [
         (
             "decisions.request_ns_by_upstreams",
             "processor time of the decisions for one request: taken, sent, and its attempt ended",
@@ -150,7 +151,7 @@
         keep(&folder, arguments, (name, what), (x_unit, "ns"), plays as usize, points, note)?;
     }
     let most = if small { HELD_BYTES_SMALL } else { HELD_BYTES };
-    let held: [(&str, &str, &str, &[(usize, Size)], &str); 3] = [
+    let held: [(&str, &str, &str, Sizes<'_>, &str); 3] = [
         (
             "decisions.bytes_by_upstreams",
             "memory of one core",
