--- a/crates/scale/src/decisions.rs
+++ b/crates/scale/src/decisions.rs
@@ -44,6 +44,15 @@
     in_flight: usize,
 }
 
+/// The sizes of a slope, each with what it counts.
+type Sizes<'a> = &'a [(usize, Size)];
+/// Processor time of one play.
+type Cost = fn(&Plan, Size, u64, bool) -> Result<f64, ScaleError>;
+/// A slope of time: its name, what it is, what it grows with, its sizes, its cost and its note.
+type Timed<'a> = (&'a str, &'a str, &'a str, Sizes<'a>, Cost, &'a str);
+/// A slope of bytes: the same, and what calls are held.
+type Held<'a> = (&'a str, &'a str, &'a str, Sizes<'a>, &'a str);
+
 /// What a slope leaves alone: the upstreams of a large service, no tenants, the calls of a busy balancer.
 const USUAL: Size = Size { upstreams: 190, tenants: 0, in_flight: 32 };
 /// Virtual seconds that a call takes.
@@ -92,8 +101,7 @@
     );
     let tenants_usual = usual.replace("no tenants, ", "");
     let timing = "Wall time of tight loops with the machine alone.";
-    type Cost = fn(&Plan, Size, u64, bool) -> Result<f64, ScaleError>;
-    let timed: [(&str, &str, &str, &[(usize, Size)], Cost, &str); 6] = [
+    let timed: [Timed; 6] = [
         (
             "decisions.request_ns_by_upstreams",
             "processor time of the decisions for one request: taken, sent, and its attempt ended",
@@ -150,7 +158,7 @@
         keep(&folder, arguments, (name, what), (x_unit, "ns"), plays as usize, points, note)?;
     }
     let most = if small { HELD_BYTES_SMALL } else { HELD_BYTES };
-    let held: [(&str, &str, &str, &[(usize, Size)], &str); 3] = [
+    let held: [Held; 3] = [
         (
             "decisions.bytes_by_upstreams",
             "memory of one core",
