Balancer: a word on the watch of before no longer undoes a move of discovery

Found by the test of SIGHUP between changes: a word that came within the half second between the move and the next watch, a sign of life was enough, counted as a watch that stands, and the old address was followed until it broke. The watch of before is ended at its next word, and the decisions ask at the new address.

--- a/dahliahead/src/driver.rs
+++ b/dahliahead/src/driver.rs
@@ -109,6 +109,8 @@
     told: bool,
     watch: Option<AbortHandle>,
     watch_number: u64,
+    /// Where the latest watch is had.
+    watch_at: SocketAddr,
     counters: Counters,
 }
 
@@ -155,6 +157,7 @@
             told: false,
             watch: None,
             watch_number: 0,
+            watch_at: config.discovery,
             counters: Counters::default(),
         };
         let driver = Rc::new_cyclic(|driver: &Weak<Self>| Self {
@@ -421,6 +424,15 @@
         }
         let kind = if update.snapshot { ListUpdate::Whole } else { ListUpdate::Patch };
         self.take_list(update, kind);
+        // To the decisions a word means that the watch stands. On one at the address of before it must not keep them
+        // from asking at the new one.
+        let moved = self.core.borrow().watch_at != self.discovery.get();
+        if moved {
+            if let Some(watch) = self.core.borrow_mut().watch.take() {
+                watch.abort();
+            }
+            self.handle(Event::List(ListUpdate::Moved));
+        }
     }
 
     /// Discovery listens elsewhere now: the decisions hear it, and ask for a watch there. Until then the old one
@@ -549,6 +561,7 @@
                 }
                 core.watch_number += 1;
                 let (address, number) = (self.discovery.get(), core.watch_number);
+                core.watch_at = address;
                 let watch = discovery::watch(Rc::clone(self), address, self.patience, core.index, number);
                 core.watch = Some(spawn_local(watch).abort_handle());
             }
--- a/dahliahead/tests/configuration.rs
+++ b/dahliahead/tests/configuration.rs
@@ -313,11 +313,11 @@
 #[test]
 fn a_hangup_between_changes_moves_discovery_alone() {
     let (upstream, parent) = (echo(), Parent::start());
-    let (mut child, file, discovery, address, _log) = started(&[parent.address], &upstream);
+    let (mut child, file, discovery, address, mut log) = started(&[parent.address], &upstream);
     let (_, watch) = parent.watch();
     watch.holds(1, vec![document("fleet", 1, &json!({"lanes": lanes(30.0, &[extra("one")])}))]);
     parent.wait_version("fleet", 1);
-    let (_, _old) = discovery.watch();
+    let (_, old) = discovery.watch();
     let elsewhere = Discovery::start();
     let known = [endpoint("s-1", upstream.address, 0, "ready")];
     let text = with_parents(&configuration(elsewhere.address, &known, 30.0, 1024), &[dead_address()]);
@@ -326,9 +326,13 @@
         watch.publishes(document("fleet", version, &json!({"lanes": lanes(30.0, &[extra("one")])})));
         if version == 15 {
             signal(&child, "-HUP");
+            wait_line(&mut log, "discovery is at");
         }
     }
-    let (_, _new) = elsewhere.watch();
+    // A word on the watch of before does not keep the move from happening.
+    old.try_bytes(b"\n");
+    let (line, _new) = elsewhere.watch();
+    assert_eq!(line, "GET /catalog/members?follow=1&since=7 HTTP/1.1");
     parent.wait_version("fleet", 29);
     assert_eq!(Caller::connect(address).ask("one", "one").body, b"one");
     signal(&child, "-TERM");
