Look for the publisher where its command line stands now

Need: the page said that nothing publishes, as the command line had moved into the library. Change: the mechanism's file.

--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -255,7 +255,7 @@
 };
 const PUBLISHER: Mechanism = Mechanism::Ours {
     what: "`fennelhatch-distribution publish`",
-    file: "crates/distribution/src/main.rs",
+    file: "crates/distribution/src/command.rs",
     sign: "Publish {",
 };
 const LIST_SERVICE: Mechanism = Mechanism::Platform("the platform's discovery, none of ours");
--- a/crates/scale/tests/page.rs
+++ b/crates/scale/tests/page.rs
@@ -328,7 +328,7 @@
 
     has("crates/distribution/src/origin.rs", "pub struct Origin");
     has("crates/distribution/src/host/relay.rs", "pub struct RelayHost");
-    has("crates/distribution/src/main.rs", "Publish {");
+    has("crates/distribution/src/command.rs", "Publish {");
     assert_eq!(rows()[0], today[0], "no balancer takes it in yet");
     has("dahliahead/src/configuration.rs", "pub fn follow(");
     let then = rows();
