--- a/crates/scale/src/latency.rs
+++ b/crates/scale/src/latency.rs
@@ -152,7 +152,7 @@
 
 /// Seconds of a play: longer where calls are few.
 fn span(rate: f64, small: bool) -> Duration {
-    let calls = if small { 100.0 } else { 3000.0 };
+    let calls = if small { 50.0 } else { 3000.0 };
     Duration::from_secs_f64((calls / rate).clamp(if small { 0.2 } else { 3.0 }, 7.0))
 }
 
