--- a/crates/scale/src/world.rs
+++ b/crates/scale/src/world.rs
@@ -579,10 +579,10 @@
                 line(text);
             }),
         )?;
-        let (address, at) = listening.recv_timeout(START_MOST).map_err(|_| {
-            ScaleError::run(place, format!("it does not listen: {}", process.log().join("; ")))
-        })?;
-        Ok((process, address, at))
+        match listening.recv_timeout(START_MOST) {
+            Ok((address, at)) => Ok((process, address, at)),
+            Err(_) => Err(ScaleError::run(place, format!("it does not listen: {}", process.last_words()))),
+        }
     }
 
     /// Whether it has ended by itself.
