Keep the first second of a limit without a quota to the first tier

Cause: the mend of a fresh limit also passed over failures in the first second of copies below the first tier, where no latency is taken for a crowd, so that the fault that it mends cannot come from one there. Change: in `meet` it holds where the tier is 0. All tests of the decisions pass.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1180,10 +1180,10 @@
         let rate = self.suppressors[all].accepted_rate(now);
         let fresh = if arrived < self.drops.0 { BEFORE_DROP } else { 1.0 };
         // Without quotas a limit is cut to what was let in, and what is usual is learned from what came first: before a
-        // second is over neither is known.
+        // second is over neither is known. Below the first tier no latency is taken for a crowd.
         let Suppressor { first, current, .. } = self.suppressors[tenant];
-        let new =
-            self.limits[tenant].quota.is_none() && first.is_none_or(|first| current < first + LAST_SECOND);
+        let unquoted = self.settings.tier == 0 && self.limits[tenant].quota.is_none();
+        let new = unquoted && first.is_none_or(|first| current < first + LAST_SECOND);
         let weight = if new { 0.0 } else { (1.0 / (rate * CROWDING.0)).min(CROWDING.1) * fresh };
         let off = sample - self.crowding.0;
         self.crowding.1 += weight * (off * off - self.crowding.1);
