Write a process's log lines by one writer, whoever of its parts says them

Cause: the distribution's hosts had a copy of the balancer's log writer, so that a balancer that follows parents had two threads on one standard error, two bounds and two counts of lost lines, and its end waited for the lines of one alone. Change: one writer, in the distribution's hosts, that is told the part; the balancer's log is a name for it.

--- a/crates/distribution/src/host/log.rs
+++ b/crates/distribution/src/host/log.rs
@@ -1,5 +1,5 @@
 //! Lines for the operator, on standard error. A thread of its own writes them: a log that somebody holds and nobody
-//! reads must not stop a host. Lines that may wait are bounded; further ones are lost, and counted.
+//! reads must not stop a process, nor one that is closed end it.
 
 use std::fmt::Arguments;
 use std::io::Write;
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
-/// Lines that may wait to be written.
+/// Lines that may wait to be written; further ones are lost, and counted.
 const WAITING: usize = 256;
 
 enum Line {
@@ -31,7 +31,7 @@
 fn write(lines: &Receiver<Line>) {
     for line in lines {
         match line {
-            Line::Text(text) => drop(writeln!(std::io::stderr(), "configuration: {text}")),
+            Line::Text(text) => drop(writeln!(std::io::stderr(), "{text}")),
             Line::Mark(reached) => drop(reached.send(())),
         }
     }
@@ -39,8 +39,14 @@
 
 /// Writes a line sooner or later, or loses it; never waits.
 pub fn log(line: Arguments<'_>) {
+    log_as("configuration", line);
+}
+
+/// The same with the name of the part of the process that says it.
+pub fn log_as(part: &str, line: Arguments<'_>) {
     let lost = LOST.swap(0, Ordering::Relaxed);
-    let text = if lost > 0 { format!("({lost} lines lost) {line}") } else { line.to_string() };
+    let text =
+        if lost > 0 { format!("{part}: ({lost} lines lost) {line}") } else { format!("{part}: {line}") };
     if WRITER.try_send(Line::Text(text)).is_err() {
         LOST.fetch_add(lost + 1, Ordering::Relaxed);
     }
--- a/dahliahead/src/log.rs
+++ b/dahliahead/src/log.rs
@@ -1,55 +1,12 @@
-//! Lines for the operator, on standard error. A thread of its own writes them: a log that somebody holds and nobody
-//! reads must not stop the balancer, nor one that is closed end it.
+//! Lines for the operator, on standard error, by the one writer of the process: what the client of configuration says
+//! goes the same way, and a log that somebody holds and nobody reads stops nothing.
 
 use std::fmt::Arguments;
-use std::io::Write;
-use std::sync::LazyLock;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
-use std::time::Duration;
 
-/// Lines that may wait to be written; further ones are lost, and counted.
-const WAITING: usize = 256;
-
-enum Line {
-    Text(String),
-    /// All before it has been written.
-    Mark(SyncSender<()>),
-}
-
-static WRITER: LazyLock<SyncSender<Line>> = LazyLock::new(|| {
-    let (sender, lines) = sync_channel(WAITING);
-    // Without the thread all lines are lost, and nothing else is.
-    let _ = thread::Builder::new().name("log".to_owned()).spawn(move || write(&lines));
-    sender
-});
-
-/// Lines lost since the last that was not.
-static LOST: AtomicU32 = AtomicU32::new(0);
-
-fn write(lines: &Receiver<Line>) {
-    for line in lines {
-        match line {
-            Line::Text(text) => drop(writeln!(std::io::stderr(), "dahliahead: {text}")),
-            Line::Mark(reached) => drop(reached.send(())),
-        }
-    }
-}
+pub use fennelhatch_distribution::host::log::flush;
+use fennelhatch_distribution::host::log::log_as;
 
 /// Writes a line sooner or later, or loses it; never waits.
 pub(crate) fn log(line: Arguments<'_>) {
-    let lost = LOST.swap(0, Ordering::Relaxed);
-    let text = if lost > 0 { format!("({lost} lines lost) {line}") } else { line.to_string() };
-    if WRITER.try_send(Line::Text(text)).is_err() {
-        LOST.fetch_add(lost + 1, Ordering::Relaxed);
-    }
-}
-
-/// Waits until the lines so far have been written, for `most` at the longest.
-pub fn flush(most: Duration) {
-    let (reached, mark) = sync_channel(1);
-    if WRITER.try_send(Line::Mark(reached)).is_ok() {
-        let _ = mark.recv_timeout(most);
-    }
+    log_as("dahliahead", line);
 }
