Take a scenario for what it is, and name the parts of the capacity page once

Cause: the rig had a second list of the scenarios beside the scenarios, with a match from one to the other, only to say "all"; the parts that carry a need were written out field by field six times.

--- a/crates/scale/src/arithmetic.rs
+++ b/crates/scale/src/arithmetic.rs
@@ -231,33 +231,27 @@
     Platform(&'static str),
 }
 
-const DECISIONS: Mechanism =
-    Mechanism::Ours { what: "`peathatch` `Balancer`", file: "src/decide.rs", sign: "pub struct Balancer" };
-const LIST_CLIENT: Mechanism = Mechanism::Ours {
-    what: "`dahliahead` `discovery::watch`",
-    file: "dahliahead/src/discovery.rs",
-    sign: "pub async fn watch(",
-};
-const CONFIGURATION_CLIENT: Mechanism = Mechanism::Ours {
-    what: "`dahliahead` `configuration`, `peathatch` `Event::Reconfigured`",
-    file: "dahliahead/src/configuration.rs",
-    sign: "pub fn follow(",
-};
-const ORIGIN: Mechanism = Mechanism::Ours {
-    what: "`fennelhatch-distribution` `Origin`",
-    file: "crates/distribution/src/origin.rs",
-    sign: "pub struct Origin",
-};
-const RELAY: Mechanism = Mechanism::Ours {
-    what: "`fennelhatch-distribution` `RelayHost`",
-    file: "crates/distribution/src/host/relay.rs",
-    sign: "pub struct RelayHost",
-};
-const PUBLISHER: Mechanism = Mechanism::Ours {
-    what: "`fennelhatch-distribution publish`",
-    file: "crates/distribution/src/command.rs",
-    sign: "Publish {",
-};
+const fn ours(what: &'static str, file: &'static str, sign: &'static str) -> Mechanism {
+    Mechanism::Ours { what, file, sign }
+}
+
+const DECISIONS: Mechanism = ours("`peathatch` `Balancer`", "src/decide.rs", "pub struct Balancer");
+const LIST_CLIENT: Mechanism =
+    ours("`dahliahead` `discovery::watch`", "dahliahead/src/discovery.rs", "pub async fn watch(");
+const CONFIGURATION_CLIENT: Mechanism = ours(
+    "`dahliahead` `configuration`, `peathatch` `Event::Reconfigured`",
+    "dahliahead/src/configuration.rs",
+    "pub fn follow(",
+);
+const ORIGIN: Mechanism =
+    ours("`fennelhatch-distribution` `Origin`", "crates/distribution/src/origin.rs", "pub struct Origin");
+const RELAY: Mechanism = ours(
+    "`fennelhatch-distribution` `RelayHost`",
+    "crates/distribution/src/host/relay.rs",
+    "pub struct RelayHost",
+);
+const PUBLISHER: Mechanism =
+    ours("`fennelhatch-distribution publish`", "crates/distribution/src/command.rs", "Publish {");
 const LIST_SERVICE: Mechanism = Mechanism::Platform("the platform's discovery, none of ours");
 
 impl Mechanism {
--- a/crates/scale/src/hollow/mod.rs
+++ b/crates/scale/src/hollow/mod.rs
@@ -28,42 +28,6 @@
 /// Part of the usual seconds that the front's reading is played for, as it has twelve times the calls.
 const FRONT_PART: f64 = 0.2;
 
-/// A scenario, or all.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-pub enum Choice {
-    /// All of them.
-    All,
-    /// Nothing, to hold the others against.
-    Calm,
-    /// A day's failures and replacements in less than a minute.
-    Ordinary,
-    /// Everything is replaced, one upstream of eight at a time.
-    Replacement,
-    /// A rack is lost.
-    Rack,
-    /// A zone is lost whole and comes back cold.
-    Zone,
-    /// A region is cut off from the others and comes back.
-    Region,
-    /// The whole fleet has just started.
-    Cold,
-}
-
-impl Choice {
-    fn scenarios(self) -> Vec<Scenario> {
-        match self {
-            Self::All => Scenario::ALL.to_vec(),
-            Self::Calm => vec![Scenario::Calm],
-            Self::Ordinary => vec![Scenario::Ordinary],
-            Self::Replacement => vec![Scenario::Replacement],
-            Self::Rack => vec![Scenario::Rack],
-            Self::Zone => vec![Scenario::Zone],
-            Self::Region => vec![Scenario::Region],
-            Self::Cold => vec![Scenario::Cold],
-        }
-    }
-}
-
 /// How "calls a second" is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum ReadAs {
@@ -85,9 +49,9 @@
 /// The hollow fleet: the real decision cores of all balancers in one process, in virtual time.
 #[derive(Debug, Clone, Args)]
 pub struct Arguments {
-    /// What happens to the fleet.
-    #[arg(long, value_enum, default_value = "all")]
-    pub scenario: Choice,
+    /// What happens to the fleet; each in turn if not told.
+    #[arg(long, value_enum)]
+    pub scenario: Option<Scenario>,
     /// The first seed.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
@@ -229,7 +193,7 @@
     let seeds = || arguments.seed..arguments.seed.saturating_add(arguments.seeds);
     let runs: Vec<Run> = arguments
         .scenario
-        .scenarios()
+        .map_or(Scenario::ALL.to_vec(), |scenario| vec![scenario])
         .into_iter()
         .flat_map(|scenario| seeds().map(move |seed| (scenario, seed)))
         .map(|(scenario, seed)| {
