--- a/review/play/main.rs
+++ b/review/play/main.rs
@@ -1,6 +1,7 @@
 //! Plays one case of the review: `play CASE DIRECTORY`. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
 //! case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod memory;
 mod parts;
 mod settings;
 mod shutdown;
@@ -39,6 +40,7 @@
     ));
     let played = spawn(move || match case.as_str() {
         "shutdown" => shutdown::play(&stage),
+        "memory" => memory::play(&stage),
         _ => Verdict::NotRun,
     });
     // The guard of the balancer in the case's thread ends the process, also where the case panics.
