--- a/review/play/main.rs
+++ b/review/play/main.rs
@@ -3,6 +3,7 @@
 
 mod memory;
 mod parts;
+mod pipeline;
 mod settings;
 mod shutdown;
 
@@ -41,6 +42,7 @@
     let played = spawn(move || match case.as_str() {
         "shutdown" => shutdown::play(&stage),
         "memory" => memory::play(&stage),
+        "pipeline" => pipeline::play(&stage),
         _ => Verdict::NotRun,
     });
     // The guard of the balancer in the case's thread ends the process, also where the case panics.
