--- a/review/play/parts.rs
+++ b/review/play/parts.rs
@@ -265,11 +265,16 @@
 /// The process id of the balancer that runs; 0 if none does.
 static RUNNING: AtomicU32 = AtomicU32::new(0);
 
+/// Sends a signal to a process that the case started.
+fn send_signal(id: u32, name: &str) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).status();
+}
+
 /// Kills the balancer that still runs, where a case came to no end.
 pub fn kill_rest() {
     let id = RUNNING.load(Ordering::SeqCst);
     if id != 0 {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        send_signal(id, "KILL");
     }
 }
 
@@ -336,7 +341,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
+        send_signal(self.child.id(), name);
     }
 
     pub fn has_ended(&mut self) -> bool {
