Copy the pieces of a body into one buffer as they arrive

Callers saw a balancer killed for memory with all their requests lost: 80 valid requests whose bodies of 64 KiB come in chunks of 4 bytes take it over 32 MB.

Cause: read_body (downstream/request.rs) and read_response (upstream/response.rs) collected a body as a list of the pieces that hyper hands over, one a chunk: 32 bytes an entry in a list that doubles, each entry keeping its read buffer alive. The limit counted the bytes of the body alone. Ruled out: the size of the bodies (11 MB with a Content-Length), chunk extensions (bounded by hyper), bytes read ahead (there are none).

Change: one function copies the pieces into a buffer that grows with what has arrived, for requests, answers and the responses that the configuration's client reads (the same list there). An error of a connection in the middle of such a response is told as that and no longer as a timeout.

--- a/crates/config-distribution/src/host/call.rs
+++ b/crates/config-distribution/src/host/call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::{Method, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::body::{BodyError, read_body};
+
 /// Maximum size in bytes of the response body of a call.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
@@ -71,12 +73,10 @@
         let request = request.body(Full::new(call.body)).unwrap_or_default();
         let response = sender.send_request(request).await?;
         let status = response.status();
-        match Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await {
-            Ok(body) => Ok((status, body.to_bytes())),
-            Err(error) if error.is::<LengthLimitError>() => Err(CallError::ResponseTooLarge),
-            Err(error) => {
-                Err(error.downcast::<hyper::Error>().map_or(CallError::TimedOut, |error| (*error).into()))
-            }
+        match read_body(response.into_body(), MAX_RESPONSE_BYTES).await {
+            Ok(body) => Ok((status, body)),
+            Err(BodyError::TooLarge) => Err(CallError::ResponseTooLarge),
+            Err(BodyError::Connection(error)) => Err(error.into()),
         }
     };
     let mut result = pin!(result);
--- a/crates/config-distribution/src/host/mod.rs
+++ b/crates/config-distribution/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! Hosts of the sans-IO core: they own the sockets, timers and disk access, and carry out what the core decides.
 
 pub mod accept;
+pub mod body;
 pub mod call;
 pub mod client;
 pub mod log;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -5,8 +5,8 @@
 
 use balancer_policy::interface::{ClassId, Idempotency, TenantId};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use config_distribution::host::body::{BodyError, read_body};
+use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
@@ -127,7 +127,7 @@
     let mut checked = RequestHead::read(&head, &name_registry)?;
     let key = head.headers.get("idempotency-key").cloned();
     let id = head.headers.get("x-request-id").cloned().ok_or(BadRequest::MissingRequestId)?;
-    let body = read_body(body, complete_by).await?;
+    let body = read_body_by(complete_by, body).await?;
     // The settings may have changed while the body was read; the request is accepted under the settings now in force.
     let latest = event_loop.name_registry();
     if !Rc::ptr_eq(&name_registry, &latest) {
@@ -156,15 +156,12 @@
     })
 }
 
-async fn read_body(body: Incoming, complete_by: Instant) -> Result<Bytes, BadRequest> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(BadRequest::TooLarge);
-    }
-    match timeout_at(complete_by, Limited::new(body, MAX_BODY_BYTES).collect()).await {
+async fn read_body_by(complete_by: Instant, body: Incoming) -> Result<Bytes, BadRequest> {
+    match timeout_at(complete_by, read_body(body, MAX_BODY_BYTES)).await {
         Err(_) => Err(BadRequest::BodyTimedOut),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadRequest::TooLarge),
-        Ok(Err(_)) => Err(BadRequest::Body),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(BadRequest::TooLarge),
+        Ok(Err(BodyError::Connection(_))) => Err(BadRequest::Body),
     }
 }
 
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -2,7 +2,7 @@
 
 use balancer_policy::interface::{LoadReport, Outcome};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use config_distribution::host::body::{BodyError, read_body};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
@@ -21,10 +21,10 @@
     // A request that got a 503 without `x-not-run`, from the upstream itself or from a tier behind it, may have run.
     let not_run = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
         && head.headers.get("x-not-run").is_some_and(|value| value.as_bytes() == b"1");
-    let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match read_body(body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
         // A body that is too large to forward is still a response of the upstream.
-        Err(error) if error.is::<LengthLimitError>() => return Some(Outcome::Error.into()),
+        Err(BodyError::TooLarge) => return Some(Outcome::Error.into()),
         // The head says that the request has not run, so it counts as refused although the rest of the response is
         // lost.
         Err(_) if not_run => Bytes::new(),
--- a/crates/proxy/tests/common/process.rs
+++ b/crates/proxy/tests/common/process.rs
@@ -63,3 +63,37 @@
         line.contains(part).then_some(())
     });
 }
+
+/// Clock ticks per second in `/proc/PID/stat` on Linux.
+const CLOCK_TICKS_PER_S: f64 = 100.0;
+
+/// Resource usage of the program, by process id, as read from `/proc`.
+pub struct ProcessUsage(pub u32);
+
+impl ProcessUsage {
+    fn read(&self, file: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{file}", self.0)).expect("the program is running")
+    }
+
+    /// Total user and system time of all threads.
+    pub fn cpu_seconds(&self) -> f64 {
+        let stat = self.read("stat");
+        // The name of the program, the field before these, may contain spaces.
+        let (_, fields) = stat.rsplit_once(") ").expect("stat has a process name");
+        let fields: Vec<&str> = fields.split(' ').collect();
+        let ticks = |place: usize| fields[place].parse::<f64>().expect("a number");
+        (ticks(11) + ticks(12)) / CLOCK_TICKS_PER_S
+    }
+
+    /// Largest resident memory so far.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let status = self.read("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is reported");
+        line.trim().trim_end_matches(" kB").parse::<f64>().expect("a number") / 1024.0
+    }
+
+    /// Number of open file descriptors.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.0)).expect("the program is running").count()
+    }
+}
--- a/crates/proxy/tests/fleet_size.rs
+++ b/crates/proxy/tests/fleet_size.rs
@@ -28,8 +28,6 @@
 const MIN_WATCHES: usize = 6;
 /// Index of the list in the configuration.
 const FIRST_INDEX: u64 = 7;
-/// Clock ticks per second in `/proc/PID/stat` on Linux.
-const CLOCK_TICKS_PER_S: f64 = 100.0;
 /// Limit on the program's open file descriptors.
 const DESCRIPTORS: usize = 1024;
 
@@ -168,35 +166,6 @@
     configuration.to_string()
 }
 
-/// Resource usage of the program, by process id, as read from `/proc`.
-struct Process(u32);
-
-impl Process {
-    fn read(&self, file: &str) -> String {
-        std::fs::read_to_string(format!("/proc/{}/{file}", self.0)).expect("the program is running")
-    }
-
-    /// Total user and system time of all threads.
-    fn cpu_seconds(&self) -> f64 {
-        let stat = self.read("stat");
-        // The name of the program, the field before these, may contain spaces.
-        let (_, fields) = stat.rsplit_once(") ").expect("stat has a process name");
-        let fields: Vec<&str> = fields.split(' ').collect();
-        let ticks = |place: usize| fields[place].parse::<f64>().expect("a number");
-        (ticks(11) + ticks(12)) / CLOCK_TICKS_PER_S
-    }
-
-    fn peak_memory_mb(&self) -> f64 {
-        let status = self.read("status");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak is reported");
-        line.trim().trim_end_matches(" kB").parse::<f64>().expect("a number") / 1024.0
-    }
-
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.0)).expect("the program is running").count()
-    }
-}
-
 /// Sends one client's requests, one after the other, and returns how many were served.
 fn send_requests(address: SocketAddr) -> usize {
     let mut client = Client::connect(address);
@@ -214,7 +183,7 @@
     let (discovery, discovery_server) = ChangingDiscovery::start(fleet, port);
     let mut child = program_with_descriptor_limit(DESCRIPTORS, &configuration_in(fleet, discovery, port));
     let (address, _log) = address(&mut child);
-    let process = Process(child.id());
+    let process = ProcessUsage(child.id());
     let clients: Vec<_> = (0..CLIENTS).map(|_| thread::spawn(move || send_requests(address))).collect();
     let mut descriptors = 0;
     while !clients.iter().all(thread::JoinHandle::is_finished) {
