Limit the read buffer of a connection to an upstream to 32 KiB

Found on a path related to bodies in small chunks. hyper's own limit is about 400 KB a connection: upstreams whose heads never end filled it, and 80 such answers at the same time took the balancer over 32 MB. The buffer also grew with long answers in small chunks.

Change: the same 32 KiB as for the heads of requests; a longer head is a broken answer, as before with one over 400 KB.

--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -22,6 +22,10 @@
 
 pub use super::gate::WriteCheck;
 
+/// Largest read buffer of a connection, which also limits the head of an answer. Many connections may be reading at the
+/// same time, and hyper's own limit of about 400 KB for each would exceed the memory of a small deployment.
+const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
+
 /// Counts a socket against the process's socket budget until it is dropped.
 #[derive(Debug)]
 pub struct Permit(Rc<Cell<usize>>);
@@ -86,7 +90,9 @@
 pub async fn handshake(stream: TcpStream, permit: Permit) -> Result<Connection, hyper::Error> {
     let io = CountingSocket::new(stream, permit);
     let (socket, written, gate) = (io.socket.clone(), Rc::clone(&io.written), Rc::clone(&io.gate));
-    let (sender, connection) = http1::handshake(TokioIo::new(io)).await?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_MAX_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(io)).await?;
     let task = tokio::task::spawn_local(async move {
         // An error also fails the request in progress on the connection, if there is one, and is handled there.
         let _ = connection.await;
--- a/crates/proxy/tests/memory_limit.rs
+++ b/crates/proxy/tests/memory_limit.rs
@@ -28,6 +28,9 @@
         .into_bytes()
 }
 
+/// Size of a head that counts as endless: more than hyper keeps of a head without a limit of the program's own.
+const ENDLESS_HEAD_BYTES: usize = 1 << 20;
+
 /// The chunk that ends a body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -97,3 +100,28 @@
     });
     assert!(peak <= MEMORY_LIMIT_MB, "expected at most {MEMORY_LIMIT_MB} MB, got {peak} MB");
 }
+
+/// Guards against heads of answers that never end: each was kept up to 400 KB, because the read buffer of a connection
+/// to an upstream had no limit of the program's own.
+#[test]
+fn endless_heads_of_answers_stay_within_the_memory_limit() {
+    let all_sent = Arc::new(Barrier::new(REQUESTS));
+    let upstreams: Vec<_> = (0..6)
+        .map(|_| {
+            let all_sent = Arc::clone(&all_sent);
+            Upstream::scripted(move |_, _, stream| {
+                // The write fails once the balancer has had enough and closes the connection.
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nX-Padding: ");
+                let _ = stream.write_all(&[b'a'; ENDLESS_HEAD_BYTES]);
+                all_sent.wait();
+                Reply::Last(Vec::new())
+            })
+        })
+        .collect();
+    let peak = peak_memory_mb(&upstreams, |address| {
+        let answer = Client::connect(address).ask("order", "one");
+        assert_eq!(answer.status(), 502, "an order that may have run is not retried");
+        answer.body.len()
+    });
+    assert!(peak <= MEMORY_LIMIT_MB, "expected at most {MEMORY_LIMIT_MB} MB, got {peak} MB");
+}
