Bound a request by the drain when its last byte has come, not its head

Cause: serve_requests (downstream/connection.rs) read the drain's bound on answers when the head had been read and respond (response.rs) applied the kept value once the body was whole; before SIGTERM there is none. Ruled out: the upstreams (requests written whole went to the same and were answered), the time for a body, the close of connections (9 requests in progress to the end).

Change: the bound is read once the body is whole. Reading a body ends with the drain too, 50 ms later: one that is incomplete then gets 408 before SIGKILL instead of a cut.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -17,12 +17,12 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::task::yield_now;
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 use super::connection_set::ConnectionSet;
 use super::connection_state::ClientConnection;
 use super::health::{check_health, is_health_check};
-use super::response::{RequestDeadlines, respond};
+use super::response::respond;
 use super::shutdown::Phase;
 use crate::socket::Socket;
 
@@ -60,8 +60,7 @@
         // once.
         let body = request.body().size_hint().exact();
         let complete_by = connection.begin_request(body, is_health_check(&request));
-        let deadlines = RequestDeadlines { complete_by, answer_by: connections.answer_by() };
-        handle_request(connections, connection, request, deadlines)
+        handle_request(connections, connection, request, complete_by)
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(HEAD_MAX_BYTES);
@@ -143,13 +142,13 @@
     }
 }
 
-/// Answers a request. If the client disconnects, the future is dropped with the connection; `respond` handles this
-/// case.
+/// Answers a request, whose last byte must arrive before `complete_by`. If the client disconnects, the future is dropped
+/// with the connection; `respond` handles this case.
 async fn handle_request(
     connections: &ConnectionSet,
     connection: &ClientConnection,
     request: Request<Incoming>,
-    deadlines: RequestDeadlines,
+    complete_by: Instant,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let event_loop = connections.event_loop();
     // The request's attempt needs a socket too, and idle clients must not keep it from getting one.
@@ -159,7 +158,7 @@
     let mut response = if is_health_check(&request) {
         check_health(event_loop)
     } else {
-        respond(event_loop, connection, request, deadlines).await
+        respond(connections, connection, request, complete_by).await
     };
     connection.end_request();
     if connections.phase() != Phase::Serving || event_loop.pool().is_full() || connection.socket.overflowed()
--- a/crates/proxy/src/downstream/connection_set.rs
+++ b/crates/proxy/src/downstream/connection_set.rs
@@ -3,11 +3,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::rc::Rc;
 
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use super::connection_state::ClientConnection;
 use super::shutdown::Phase;
@@ -21,7 +22,7 @@
     open: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     next_number: Cell<u64>,
     /// Deadline for answers to requests that arrive after SIGTERM; `None` before SIGTERM.
-    answer_by: Cell<Option<Instant>>,
+    answer_by: watch::Sender<Option<Instant>>,
 }
 
 /// A connection that has been inserted into the set, with its number.
@@ -46,7 +47,7 @@
             phases,
             open: RefCell::new(BTreeMap::new()),
             next_number: Cell::new(0),
-            answer_by: Cell::new(None),
+            answer_by: watch::Sender::new(None),
         }
     }
 
@@ -97,16 +98,26 @@
 
     /// Starts the drain: requests that arrive from now on must be answered by `answer_by`.
     pub(super) fn start_drain(&self, answer_by: Instant) {
-        self.answer_by.set(Some(answer_by));
+        self.answer_by.send_replace(Some(answer_by));
     }
 
     pub(super) fn is_draining(&self) -> bool {
-        self.answer_by.get().is_some()
+        self.answer_by.borrow().is_some()
     }
 
     /// Deadline for the answer to a request that arrives during the drain; `None` if there is no drain.
     pub(super) fn answer_by(&self) -> Option<Instant> {
-        self.answer_by.get()
+        *self.answer_by.borrow()
+    }
+
+    /// Waits until a request that arrives during a drain must have its answer, for ever if no drain begins. Cancel safe.
+    pub(super) async fn answer_due(&self) {
+        let mut answer_by = self.answer_by.subscribe();
+        match answer_by.wait_for(Option::is_some).await.map(|answer_by| *answer_by) {
+            Ok(Some(answer_by)) => sleep_until(answer_by).await,
+            // The sender is a field of this set and is not dropped while this waits.
+            Ok(None) | Err(_) => pending().await,
+        }
     }
 
     fn drain_progress(&self) -> DrainProgress {
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -1,5 +1,6 @@
 //! Reads a client's request to its last byte and checks it against the settings.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::event_loop::{AcceptedRequest, EventLoop};
 use crate::reconfiguration::{ClassEntry, NameRegistry};
@@ -114,20 +115,20 @@
     }
 }
 
-/// Reads a request to its last byte, which must arrive before `complete_by`. Not cancel safe: the part of the body that
-/// was read is lost, and the connection cannot be used any more.
+/// Reads a request to its last byte, which must arrive before the future `overdue` is ready. Not cancel safe: the part of
+/// the body that was read is lost, and the connection cannot be used any more.
 pub(super) async fn read_request(
     event_loop: &EventLoop,
     request: Request<Incoming>,
     client: WeakSocket,
-    complete_by: Instant,
+    overdue: impl Future<Output = ()>,
 ) -> Result<AcceptedRequest, BadRequest> {
     let (head, body) = request.into_parts();
     let name_registry = event_loop.name_registry();
     let mut checked = RequestHead::read(&head, &name_registry)?;
     let key = head.headers.get("idempotency-key").cloned();
     let id = head.headers.get("x-request-id").cloned().ok_or(BadRequest::MissingRequestId)?;
-    let body = read_body_by(complete_by, body).await?;
+    let body = read_body_unless(overdue, body).await?;
     // The settings may have changed while the body was read; the request is accepted under the settings now in force.
     let latest = event_loop.name_registry();
     if !Rc::ptr_eq(&name_registry, &latest) {
@@ -156,12 +157,14 @@
     })
 }
 
-async fn read_body_by(complete_by: Instant, body: Incoming) -> Result<Bytes, BadRequest> {
-    match timeout_at(complete_by, read_body(body, MAX_BODY_BYTES)).await {
-        Err(_) => Err(BadRequest::BodyTimedOut),
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge)) => Err(BadRequest::TooLarge),
-        Ok(Err(BodyError::Connection(_))) => Err(BadRequest::Body),
+async fn read_body_unless(overdue: impl Future<Output = ()>, body: Incoming) -> Result<Bytes, BadRequest> {
+    tokio::select! {
+        biased;
+        body = read_body(body, MAX_BODY_BYTES) => body.map_err(|error| match error {
+            BodyError::TooLarge => BadRequest::TooLarge,
+            BodyError::Connection(_) => BadRequest::Body,
+        }),
+        () = overdue => Err(BadRequest::BodyTimedOut),
     }
 }
 
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -9,8 +9,9 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
+use super::connection_set::ConnectionSet;
 use super::connection_state::ClientConnection;
 use super::request::{BadRequest, read_request};
 use crate::event_loop::{AcceptedRequest, Answer, EventLoop, PendingAnswer};
@@ -19,28 +20,37 @@
 /// it.
 const DECISION_GRACE: Duration = Duration::from_millis(10);
 
-/// The deadlines of a request.
-pub(super) struct RequestDeadlines {
-    /// Deadline by which the last byte of the request must have arrived.
-    pub(super) complete_by: Instant,
-    /// Deadline for the answer during a drain, in addition to the request's own deadline; `None` if there is no drain.
-    pub(super) answer_by: Option<Instant>,
-}
+/// How long past the time at which a drain needs its answers the body of a request may still arrive: even a body that
+/// arrives together with its head is read a moment after it.
+const LATE_BODY_GRACE: Duration = Duration::from_millis(50);
 
-/// Reads a request and waits for its answer. Dropping the future while it waits cancels the request.
+/// Reads a request, whose last byte must arrive before `complete_by`, and waits for its answer. During a drain, both end
+/// when the drain needs its answers. Dropping the future while it waits cancels the request.
 pub(super) async fn respond(
-    event_loop: &Rc<EventLoop>,
+    connections: &ConnectionSet,
     connection: &ClientConnection,
     request: Request<Incoming>,
-    deadlines: RequestDeadlines,
+    complete_by: Instant,
 ) -> Response<Full<Bytes>> {
+    let event_loop = connections.event_loop();
     let client = connection.socket.downgrade();
-    match read_request(event_loop, request, client, deadlines.complete_by).await {
+    let drain_overdue = async {
+        connections.answer_due().await;
+        sleep(LATE_BODY_GRACE).await;
+    };
+    let overdue = async {
+        tokio::select! {
+            () = sleep_until(complete_by) => {}
+            () = drain_overdue => {}
+        }
+    };
+    match read_request(event_loop, request, client, overdue).await {
         Err(error) => error_response(&error),
         // An attempt would get no socket either. Nothing has run, so the request is refused.
         Ok(_) if event_loop.pool().is_full() => answer_response(Answer::Refused { retry_after: None }),
         Ok(mut accepted) => {
-            if let Some(answer_by) = deadlines.answer_by {
+            // The drain may have begun while the body was read.
+            if let Some(answer_by) = connections.answer_by() {
                 accepted.deadline = accepted.deadline.min(answer_by);
             }
             connection.socket.body_complete();
--- a/crates/proxy/tests/common/settings.rs
+++ b/crates/proxy/tests/common/settings.rs
@@ -58,6 +58,13 @@
     configuration.replace(default, &format!("\"dialTimeoutS\":{seconds:?}"))
 }
 
+/// Replaces the deadline of all classes in a configuration.
+pub fn with_deadline(configuration: &str, seconds: f64) -> String {
+    let default = "\"hardLimitS\":60.0";
+    assert!(configuration.contains(default), "expected {default} in {configuration}");
+    configuration.replace(default, &format!("\"hardLimitS\":{seconds:?}"))
+}
+
 /// Parses the text of a configuration.
 pub fn parsed(configuration: &str) -> Config {
     Config::parse(configuration, |_| None).expect("a valid configuration")
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -134,16 +134,11 @@
     });
 }
 
-/// Sets the longest deadline of the configuration to 3 s. After SIGTERM the platform waits for the longest deadline
-/// plus 0.7 s before it sends SIGKILL.
-fn with_short_deadlines(configuration: &str) -> String {
-    let usual = "\"hardLimitS\":60.0";
-    assert!(configuration.contains(usual));
-    configuration.replace(usual, "\"hardLimitS\":3.0")
-}
-
 /// Value of `drainGraceS` in the tests' settings.
 const DRAIN_GRACE: Duration = Duration::from_secs(1);
+/// Deadline of all classes in seconds. After SIGTERM the platform waits for the longest deadline plus 0.7 s before it
+/// sends SIGKILL.
+const DEADLINE_S: f64 = 3.0;
 /// Earliest time after SIGTERM at which the platform sends SIGKILL, with a longest deadline of 3 s.
 const EARLIEST_KILL: Duration = Duration::from_millis(3700);
 
@@ -154,7 +149,7 @@
     let upstreams: Vec<_> = (0..3).map(|_| Upstream::start(|_, _| Reply::Silence)).collect();
     let known = endpoints_in_own_groups(&upstreams);
     let discovery = Discovery::start();
-    let text = with_short_deadlines(&configuration(discovery.address, &known, 3.0, 1024));
+    let text = with_deadline(&configuration(discovery.address, &known, 3.0, 1024), DEADLINE_S);
     let mut child = start_program(&text);
     let (address, mut log) = address(&mut child);
     let mut idle_clients: Vec<Client> = (0..6).map(|_| Client::connect(address)).collect();
@@ -224,7 +219,7 @@
     let replacement = Upstream::start(|_, _| ok("replacement"));
     let discovery = Discovery::start();
     let known = [endpoint("s-1", old.address, 0, "ready"), endpoint("s-2", other.address, 1, "ready")];
-    let text = with_short_deadlines(&configuration(discovery.address, &known, 2.0, 1024));
+    let text = with_deadline(&configuration(discovery.address, &known, 2.0, 1024), DEADLINE_S);
     let mut child = start_program(&text);
     let (address, mut log) = address(&mut child);
     let (_, watch) = discovery.watch();
