Leave in the socket what has no room, instead of throwing requests away

Cause: while an answer is awaited the socket is read on, so that the client's end is noticed behind further bytes. store_read_ahead (socket.rs) dropped what went beyond 32 KiB and handle_request (downstream/connection.rs) closed the connection behind the answer; in a drain and without sockets it closed over requests that had been read as well. Ruled out: the upstreams, admission, the system's buffers (empty 0.2 s after the write).

Change: reading stops at 32 KiB. A connection is closed behind an answer only if nothing beyond it has been read, and reads nothing ahead once it is to be closed. 32 KiB without the head of a request are no valid request and are discarded as before.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -70,11 +70,15 @@
     if let Some(end) = serve_until(http_connection.as_mut(), connection, close_reason).await {
         return end;
     }
+    connection.socket.stop_reading_ahead();
     // Bytes that arrived while the process was delayed are in the socket, but hyper has not been notified of them yet.
     let readiness_polled = yield_for_socket_readiness(&connection.socket);
     if let Some(end) = serve_until(http_connection.as_mut(), connection, readiness_polled).await {
         return end;
     }
+    if let Some(end) = serve_until(http_connection.as_mut(), connection, idle_or_unread(connection)).await {
+        return end;
+    }
     // hyper would close a connection without a request in progress at once, although a request may be on its way, in
     // the socket or partly read. Such a request gets a grace period, after which the connection is closed like the
     // others.
@@ -85,6 +89,10 @@
         if !connection.has_carried_request.get() {
             return ConnectionEnd::Completed;
         }
+        if let Some(end) = serve_until(http_connection.as_mut(), connection, idle_or_unread(connection)).await
+        {
+            return end;
+        }
     }
     // This closes the connection at once if it is between requests, else after the answer in progress.
     http_connection.as_mut().graceful_shutdown();
@@ -135,6 +143,17 @@
     }
 }
 
+/// Waits until all requests that have been read are answered, or until the client has left an answer unread for too
+/// long. It must be polled after the HTTP connection in the same task, which then makes all the changes that it waits
+/// for. Cancel safe.
+async fn idle_or_unread(connection: &ClientConnection) {
+    let idle = poll_fn(|_| if connection.is_idle() { Poll::Ready(()) } else { Poll::Pending });
+    tokio::select! {
+        () = idle => {}
+        () = connection.unread_answer_overdue() => {}
+    }
+}
+
 /// Yields to the runtime if the socket has bytes to read, so that the runtime polls the kernel for them. Cancel safe.
 async fn yield_for_socket_readiness(socket: &Socket) {
     if !socket.has_nothing_to_read() {
@@ -161,8 +180,10 @@
         respond(connections, connection, request, complete_by).await
     };
     connection.end_request();
-    if connections.phase() != Phase::Serving || event_loop.pool().is_full() || connection.socket.overflowed()
-    {
+    let is_to_close =
+        connections.phase() != Phase::Serving || event_loop.pool().is_full() || connection.socket.discards();
+    // Requests that have been read are answered before the connection is closed.
+    if is_to_close && connection.is_idle() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- a/crates/proxy/src/downstream/connection_state.rs
+++ b/crates/proxy/src/downstream/connection_state.rs
@@ -78,9 +78,14 @@
         self.idle_since.set(Instant::now());
     }
 
-    /// Whether the connection has no request in progress and has not been evicted yet.
+    /// Whether the connection has neither a request in progress nor one that has been read and waits for its turn.
+    pub(super) fn is_idle(&self) -> bool {
+        !self.in_request.get() && !self.socket.may_hold_requests()
+    }
+
+    /// Whether the connection is idle and has not been evicted yet.
     pub(super) fn may_be_evicted(&self) -> bool {
-        !self.in_request.get() && !self.evicted.get()
+        self.is_idle() && !self.evicted.get()
     }
 
     /// Sort key for evictions, the least of which is evicted first: connections on which no head has begun to arrive
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -16,7 +16,7 @@
 
 use crate::event_loop::{AcceptedRequest, EventLoop};
 use crate::reconfiguration::{ClassEntry, NameRegistry};
-use crate::socket::WeakSocket;
+use crate::socket::Socket;
 use crate::upstream::{Call, MAX_BODY_BYTES};
 
 /// Time subtracted from a client's deadline, so that the answer arrives before the deadline.
@@ -120,7 +120,7 @@
 pub(super) async fn read_request(
     event_loop: &EventLoop,
     request: Request<Incoming>,
-    client: WeakSocket,
+    client: &Socket,
     overdue: impl Future<Output = ()>,
 ) -> Result<AcceptedRequest, BadRequest> {
     let (head, body) = request.into_parts();
@@ -135,7 +135,6 @@
         checked = RequestHead::read(&head, &latest)?;
     }
     let RequestHead { class, tenant, client_timeout, must_not_repeat } = checked;
-    let now = Instant::now();
     let cost = header_text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
     Ok(AcceptedRequest {
         class,
@@ -143,8 +142,8 @@
         subject: affinity_key(head.uri.query()),
         expected_work: cost.map(Duration::from_micros),
         is_client_retry: header_text(&head.headers, "x-retry") == Some("1"),
-        deadline: now + client_timeout.saturating_sub(RESPONSE_MARGIN),
-        client,
+        deadline: Instant::now() + client_timeout.saturating_sub(RESPONSE_MARGIN),
+        client: client.downgrade(),
         call: Rc::new(Call {
             method: head.method,
             host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -33,7 +33,6 @@
     complete_by: Instant,
 ) -> Response<Full<Bytes>> {
     let event_loop = connections.event_loop();
-    let client = connection.socket.downgrade();
     let drain_overdue = async {
         connections.answer_due().await;
         sleep(LATE_BODY_GRACE).await;
@@ -44,7 +43,7 @@
             () = drain_overdue => {}
         }
     };
-    match read_request(event_loop, request, client, overdue).await {
+    match read_request(event_loop, request, &connection.socket, overdue).await {
         Err(error) => error_response(&error),
         // An attempt would get no socket either. Nothing has run, so the request is refused.
         Ok(_) if event_loop.pool().is_full() => answer_response(Answer::Refused { retry_after: None }),
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -2,27 +2,30 @@
 //! not, such as the peer's end of stream behind bytes that hyper has not read yet.
 
 mod framing;
+mod peer_close;
+mod read_ahead;
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
 use framing::{HeadEnd, ReadLimit};
+use peer_close::has_peer_closed;
+use read_ahead::{Oldest, ReadAhead};
 
-/// Largest number of bytes per socket that are read before hyper asks for them, which are the next requests. Bytes that
-/// a peer sends beyond that while it awaits an answer are discarded, and its connection is closed after the answer.
-const READ_AHEAD_MAX_BYTES: usize = 32 * 1024;
+/// Largest number of bytes that are read at once before hyper asks for them.
+const SCRATCH_BYTES: usize = 4096;
 /// Maximum number of consecutive reads from one socket before other tasks may run.
 const READS_PER_TURN: usize = 16;
 
@@ -35,9 +38,17 @@
     /// The TCP stream, which is never borrowed across an await.
     stream: RefCell<TcpStream>,
     /// Bytes that have been read from the stream but not delivered to hyper yet.
-    read_ahead: RefCell<BytesMut>,
-    /// Whether received bytes have been discarded, so that later bytes cannot be parsed.
-    overflowed: Cell<bool>,
+    read_ahead: RefCell<ReadAhead>,
+    read_mode: Cell<ReadMode>,
+    /// Time at which bytes were first left unread in the socket; `None` if the socket has been read to its end since.
+    unread_since: Cell<Option<Instant>>,
+    /// Whether the runtime's record of readiness was cleared while bytes were left unread, so that it does not report
+    /// them.
+    readiness_cleared: Cell<bool>,
+    /// Whether hyper may have been given bytes beyond the current request.
+    delivered_beyond_request: Cell<bool>,
+    /// Time at which the latest byte that was delivered to hyper arrived, or an earlier time.
+    received_at: Cell<Instant>,
     /// How far hyper may read at present.
     limit: RefCell<ReadLimit>,
     /// When a partly received head began to be delivered to hyper, or when the last byte of the previous answer was
@@ -47,6 +58,17 @@
     head_begins: Notify,
 }
 
+/// What is read from a socket beyond the bytes that hyper asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadMode {
+    /// The next requests are read ahead, as far as the buffer has room.
+    Ahead,
+    /// No more bytes are read ahead.
+    OnDemand,
+    /// All bytes are read and discarded.
+    Discard,
+}
+
 /// A weak handle to a socket, which does not keep it open.
 #[derive(Debug, Clone)]
 pub struct WeakSocket(Weak<Shared>);
@@ -80,7 +102,11 @@
         Self(Rc::new(Shared {
             stream: RefCell::new(stream),
             read_ahead: RefCell::default(),
-            overflowed: Cell::new(false),
+            read_mode: Cell::new(ReadMode::Ahead),
+            unread_since: Cell::new(None),
+            readiness_cleared: Cell::new(false),
+            delivered_beyond_request: Cell::new(false),
+            received_at: Cell::new(Instant::now()),
             limit: RefCell::new(limit),
             head_since: Cell::new(None),
             head_begins: Notify::new(),
@@ -119,10 +145,30 @@
         }
     }
 
-    /// Whether received bytes have been discarded, so that the connection can only be closed.
+    /// Time at which the latest byte that was delivered to hyper arrived. It is earlier than that if it is not known how
+    /// long the byte had been left unread, but never later.
     #[must_use]
-    pub fn overflowed(&self) -> bool {
-        self.0.overflowed.get()
+    pub fn received_at(&self) -> Instant {
+        self.0.received_at.get()
+    }
+
+    /// Whether bytes beyond the current request have been read, which may hold whole requests.
+    #[must_use]
+    pub fn may_hold_requests(&self) -> bool {
+        self.0.delivered_beyond_request.get() || !self.0.read_ahead.borrow().is_empty()
+    }
+
+    /// Whether received bytes are discarded, so that the connection can only be closed.
+    #[must_use]
+    pub fn discards(&self) -> bool {
+        self.0.read_mode.get() == ReadMode::Discard
+    }
+
+    /// Reads no more requests ahead, because the connection is to be closed once those that have been read are answered.
+    pub fn stop_reading_ahead(&self) {
+        if !self.discards() {
+            self.0.read_mode.set(ReadMode::OnDemand);
+        }
     }
 
     /// Whether the kernel has nothing to read from the peer: no bytes, no end of stream and no error. It peeks at the
@@ -139,28 +185,41 @@
         WeakSocket(Rc::downgrade(&self.0))
     }
 
-    /// Whether the peer has ended its stream or the connection has broken. It reads the socket directly, because the
-    /// readiness that the runtime last recorded may be out of date. Bytes before the end are stored for hyper.
+    /// Whether the peer has ended its stream or the connection has broken. It asks the kernel directly, because the
+    /// readiness that the runtime last recorded may be out of date. Bytes before the end are read ahead for hyper; those
+    /// for which there is no room stay in the socket.
     #[must_use]
     pub fn has_ended(&self) -> bool {
-        let mut scratch = [0; 4096];
+        let mut scratch = [0; SCRATCH_BYTES];
         for _ in 0..READS_PER_TURN {
-            match self.receive_now(&mut scratch) {
+            let room = self.room();
+            if room == 0 {
+                return has_peer_closed(&*self.0.stream.borrow());
+            }
+            match self.receive_now(&mut scratch[..room]) {
                 Ok(0) => return true,
                 Ok(bytes) => self.store_read_ahead(&scratch[..bytes]),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return error.kind() != ErrorKind::WouldBlock,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.note_read_to_end();
+                    return false;
+                }
+                Err(_) => return true,
             }
         }
         false
     }
 
-    /// Ready once the peer has ended its stream or the connection has broken. Bytes before the end are stored for
-    /// hyper. It must be polled from the same task as hyper's reads, because only one task is woken.
+    /// Ready once the peer has ended its stream or the connection has broken. Bytes before the end are read ahead for
+    /// hyper; those for which there is no room stay in the socket. It must be polled from the same task as hyper's
+    /// reads, because only one task is woken.
     pub fn poll_disconnected(&self, context: &mut Context<'_>) -> Poll<()> {
-        let mut scratch = [0; 4096];
+        let mut scratch = [0; SCRATCH_BYTES];
         for _ in 0..READS_PER_TURN {
-            let mut buffer = ReadBuf::new(&mut scratch);
+            let room = self.room();
+            if room == 0 {
+                return self.poll_closed_behind_unread(context);
+            }
+            let mut buffer = ReadBuf::new(&mut scratch[..room]);
             match ready!(self.poll_receive(context, &mut buffer)) {
                 Ok(()) if !buffer.filled().is_empty() => {}
                 _ => return Poll::Ready(()),
@@ -171,13 +230,89 @@
         Poll::Pending
     }
 
+    /// Ready once the runtime reports that the peer has ended its stream or that the connection has broken. It reads
+    /// nothing. The runtime's record of readiness is cleared as long as only bytes have arrived, so that the task is
+    /// woken for further events alone.
+    fn poll_closed_behind_unread(&self, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            match self.recorded_readiness() {
+                Some(readiness) if readiness.is_read_closed() => return Poll::Ready(()),
+                Some(_) => self.leave_unread(),
+                None => {
+                    if ready!(self.0.stream.borrow().poll_read_ready(context)).is_err() {
+                        return Poll::Ready(());
+                    }
+                }
+            }
+        }
+    }
+
+    /// The readiness for reading that the runtime last recorded; `None` if there is none.
+    fn recorded_readiness(&self) -> Option<Ready> {
+        let stream = self.0.stream.borrow();
+        let readiness = pin!(stream.ready(Interest::READABLE));
+        match readiness.poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(readiness) => readiness.ok(),
+            Poll::Pending => None,
+        }
+    }
+
+    /// Clears the runtime's record of readiness and notes since when bytes have been left unread.
+    fn leave_unread(&self) {
+        // An operation that would block makes the runtime clear the record.
+        let would_block = || Err::<(), _>(ErrorKind::WouldBlock.into());
+        let _ = self.0.stream.borrow().try_io(Interest::READABLE, would_block);
+        self.0.readiness_cleared.set(true);
+        if self.0.unread_since.get().is_none() && !self.has_nothing_to_read() {
+            self.0.unread_since.set(Some(Instant::now()));
+        }
+    }
+
+    /// Notes that the socket has no unread bytes, so that the runtime reports the next ones.
+    fn note_read_to_end(&self) {
+        self.0.unread_since.set(None);
+        self.0.readiness_cleared.set(false);
+    }
+
+    /// The time at which bytes that have just been read arrived, or an earlier time if they may have been left unread.
+    fn arrival(&self) -> Instant {
+        self.0.unread_since.get().unwrap_or_else(Instant::now)
+    }
+
+    /// Whether the buffer is full without holding the head of a request. Such a head is too large to be valid, and
+    /// nothing behind it can be parsed.
+    fn holds_oversized_head(&self) -> bool {
+        let read_ahead = self.0.read_ahead.borrow();
+        // Otherwise the head may have been delivered already, so that these bytes are a part of its body.
+        let starts_with_head = !self.0.delivered_beyond_request.get();
+        starts_with_head && read_ahead.room() == 0 && !framing::contains_head(read_ahead.bytes())
+    }
+
+    /// Discards what has been read ahead and all that is read from now on.
+    fn discard_all(&self) {
+        self.0.read_mode.set(ReadMode::Discard);
+        self.0.read_ahead.take();
+    }
+
+    /// Number of bytes that may be read at once before hyper asks for them.
+    fn room(&self) -> usize {
+        if self.0.read_mode.get() == ReadMode::Ahead && self.holds_oversized_head() {
+            self.discard_all();
+        }
+        match self.0.read_mode.get() {
+            ReadMode::Ahead => self.0.read_ahead.borrow().room().min(SCRATCH_BYTES),
+            ReadMode::OnDemand => 0,
+            ReadMode::Discard => SCRATCH_BYTES,
+        }
+    }
+
     /// Shuts the connection down so that the peer receives all that was written: closing a socket with unread bytes
     /// would reset the connection. It then reads and discards incoming bytes until the peer closes too, for at most
     /// `linger_timeout`. If the future is dropped before that, the connection may be reset.
     pub async fn close(mut self, linger_timeout: Duration) {
         let ended = std::future::poll_fn(|context| Pin::new(&mut self).poll_shutdown(context)).await;
         if ended.is_ok() {
-            self.0.overflowed.set(true);
+            self.discard_all();
             if linger_timeout.is_zero() {
                 // Polled once without a timer, whose next tick is up to a millisecond away, because sockets are scarce.
                 std::future::poll_fn(|context| Poll::Ready(self.poll_disconnected(context).is_ready())).await;
@@ -190,9 +325,11 @@
         }
     }
 
-    /// Returns how many of the given bytes may be delivered to hyper, and records the time if a head begins in them.
-    fn deliverable(&self, bytes: &[u8]) -> usize {
+    /// Returns how many of the given bytes may be delivered to hyper, and records when they arrived and, if a head begins
+    /// in them, the present time.
+    fn deliverable(&self, bytes: &[u8], arrived_at: Instant) -> usize {
         let advance = self.0.limit.borrow_mut().advance(bytes);
+        self.0.received_at.set(arrived_at);
         if advance.in_head && self.head_since().is_none() {
             self.0.head_since.set(Some(Instant::now()));
             self.0.head_begins.notify_waiters();
@@ -200,26 +337,24 @@
         advance.bytes
     }
 
-    /// Delivers bytes that have been read ahead to hyper, as far as the limit allows.
+    /// Delivers bytes that have been read ahead and arrived together to hyper, as far as the limit allows.
     fn deliver_read_ahead(&self, buffer: &mut ReadBuf<'_>) {
-        let mut buffered = self.0.read_ahead.borrow_mut();
-        let offered = buffered.len().min(buffer.remaining());
-        let delivered = self.deliverable(&buffered[..offered]);
-        buffer.put_slice(&buffered[..delivered]);
-        buffered.advance(delivered);
-        // The buffer is freed so that idle connections do not hold its memory.
-        if buffered.is_empty() {
-            *buffered = BytesMut::new();
-        }
+        let mut read_ahead = self.0.read_ahead.borrow_mut();
+        let Some(Oldest { bytes, arrived_at }) = read_ahead.oldest() else { return };
+        let offered = &bytes[..bytes.len().min(buffer.remaining())];
+        let delivered = self.deliverable(offered, arrived_at);
+        buffer.put_slice(&offered[..delivered]);
+        read_ahead.consume(delivered);
     }
 
     /// Reads from the stream, delivers bytes of the current request to hyper and stores those beyond it.
     fn poll_deliver(&self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(self.poll_receive(context, buffer))?;
+        let arrived_at = self.arrival();
         let received = &buffer.filled()[before..];
-        let delivered = self.deliverable(received);
-        self.0.read_ahead.borrow_mut().extend_from_slice(&received[delivered..]);
+        let delivered = self.deliverable(received, arrived_at);
+        self.0.read_ahead.borrow_mut().push(&received[delivered..], arrived_at);
         buffer.set_filled(before + delivered);
         Poll::Ready(Ok(()))
     }
@@ -232,13 +367,10 @@
         }
     }
 
-    /// Stores bytes that hyper has not asked for yet, or discards them if they exceed [`READ_AHEAD_MAX_BYTES`].
+    /// Stores bytes that hyper has not asked for yet, unless bytes are discarded.
     fn store_read_ahead(&self, bytes: &[u8]) {
-        let mut buffered = self.0.read_ahead.borrow_mut();
-        if self.overflowed() || buffered.len() + bytes.len() > READ_AHEAD_MAX_BYTES {
-            self.0.overflowed.set(true);
-        } else {
-            buffered.extend_from_slice(bytes);
+        if !self.discards() {
+            self.0.read_ahead.borrow_mut().push(bytes, self.arrival());
         }
     }
 
@@ -246,11 +378,31 @@
     fn receive_now(&self, scratch: &mut [u8]) -> io::Result<usize> {
         let stream = self.0.stream.borrow();
         let socket = SockRef::from(&*stream);
-        (&*socket).read(scratch)
+        loop {
+            match (&*socket).read(scratch) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                done => return done,
+            }
+        }
     }
 
     fn poll_receive(&self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(context, buffer)
+        if self.0.readiness_cleared.get() {
+            match self.receive_now(buffer.initialize_unfilled()) {
+                Ok(bytes) => {
+                    buffer.advance(bytes);
+                    return Poll::Ready(Ok(()));
+                }
+                // The runtime is asked next, so that the task is woken when more bytes arrive.
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(context, buffer);
+        if done.is_pending() {
+            self.note_read_to_end();
+        }
+        done
     }
 }
 
@@ -263,12 +415,18 @@
         if matches!(*self.0.limit.borrow(), ReadLimit::Bytes(0)) {
             return self.poll_disconnected(context).map(Ok);
         }
-        if !self.0.read_ahead.borrow().is_empty() {
+        if self.discards() {
+            // Nothing more is parsed; this side closes the connection after the answer.
+            return Poll::Pending;
+        }
+        let is_in_body = matches!(*self.0.limit.borrow(), ReadLimit::Unlimited);
+        self.0.delivered_beyond_request.set(is_in_body);
+        if self.0.read_ahead.borrow().is_empty() {
+            self.poll_deliver(context, buffer)
+        } else {
             self.deliver_read_ahead(buffer);
-            return Poll::Ready(Ok(()));
+            Poll::Ready(Ok(()))
         }
-        // After an overflow nothing more is read; this side closes the connection after the answer.
-        if self.overflowed() { Poll::Pending } else { self.poll_deliver(context, buffer) }
     }
 }
 
--- a/crates/proxy/src/socket/framing.rs
+++ b/crates/proxy/src/socket/framing.rs
@@ -69,3 +69,8 @@
         None
     }
 }
+
+/// Whether the bytes, which start where a head may start, hold a whole head.
+pub(super) fn contains_head(bytes: &[u8]) -> bool {
+    HeadEnd::default().find(bytes).is_some()
+}
--- a/crates/proxy/tests/client_disconnects.rs
+++ b/crates/proxy/tests/client_disconnects.rs
@@ -31,10 +31,22 @@
     HalfClose,
     /// The client sends more bytes after its request and then closes its connection.
     SendThenClose,
+    /// The client sends more requests than are read ahead and then closes its connection.
+    SendMuchThenClose,
 }
 
-const DISCONNECTS: [Disconnect; 4] =
-    [Disconnect::Close, Disconnect::Reset, Disconnect::HalfClose, Disconnect::SendThenClose];
+/// Requests that a client sends behind its first one: more than are read ahead, and few enough for the system to hold.
+fn many_requests() -> Vec<u8> {
+    b"GET /read HTTP/1.1\r\n\r\n".repeat(3000)
+}
+
+const DISCONNECTS: [Disconnect; 5] = [
+    Disconnect::Close,
+    Disconnect::Reset,
+    Disconnect::HalfClose,
+    Disconnect::SendThenClose,
+    Disconnect::SendMuchThenClose,
+];
 
 /// A client's end of its connection, `None` once it is closed. It is shared so that an upstream's script can disconnect
 /// the client.
@@ -59,6 +71,7 @@
                 *connection = Some(stream);
             }
             Disconnect::SendThenClose => stream.write_all(b"GET /read HTTP/1.1\r\n").expect("open"),
+            Disconnect::SendMuchThenClose => stream.write_all(&many_requests()).expect("open"),
         }
     }
 }
@@ -92,12 +105,17 @@
             let (client, mut socket) = Client::connect();
             assert!(!socket.has_ended(), "reported as ended before {kind:?}");
             disconnect_and_wait(&client, &socket, kind);
-            if matches!(kind, Disconnect::SendThenClose) {
-                let mut bytes = [0; 64];
-                let read = tokio::io::AsyncReadExt::read(&mut socket, &mut bytes)
+            let sent = match kind {
+                Disconnect::SendThenClose => b"GET /read HTTP/1.1\r\n".to_vec(),
+                Disconnect::SendMuchThenClose => many_requests(),
+                _ => Vec::new(),
+            };
+            if !sent.is_empty() {
+                let mut bytes = Vec::new();
+                tokio::io::AsyncReadExt::read_to_end(&mut socket, &mut bytes)
                     .await
                     .expect("the bytes before the end can be read");
-                assert_eq!(&bytes[..read], b"GET /read HTTP/1.1\r\n");
+                assert!(bytes == sent, "{kind:?}: expected {} bytes, got {}", sent.len(), bytes.len());
             }
             let weak = socket.downgrade();
             drop(socket);
--- a/crates/proxy/tests/memory_limit.rs
+++ b/crates/proxy/tests/memory_limit.rs
@@ -125,3 +125,25 @@
     });
     assert!(peak <= MEMORY_LIMIT_MB, "expected at most {MEMORY_LIMIT_MB} MB, got {peak} MB");
 }
+
+/// Guards the memory that clients take who send much at once: 1 MiB of requests on each of 80 connections. What is not
+/// read ahead stays in the socket, and all requests are answered.
+#[test]
+fn requests_sent_at_once_stay_within_the_memory_limit() {
+    const REQUESTS_AT_ONCE: usize = 16;
+    let upstreams: Vec<_> =
+        (0..6).map(|_| Upstream::start(|_, request| ok(&request.body.len().to_string()))).collect();
+    let peak = peak_memory_mb(&upstreams, |address| {
+        let order = order_named("one", BODY_BYTES, 30.0, BodyFraming::Length);
+        let mut client = Client::connect(address);
+        let mut writer = client.0.try_clone().expect("the descriptor is copied");
+        let written = thread::spawn(move || writer.write_all(&order.repeat(REQUESTS_AT_ONCE)));
+        for _ in 0..REQUESTS_AT_ONCE {
+            let answer = client.answer().expect("an answer before the connection ends");
+            assert_eq!((answer.status(), answer.body), (200, BODY_BYTES.to_string().into_bytes()));
+        }
+        written.join().expect("the thread does not panic").expect("all requests are written");
+        REQUESTS_AT_ONCE
+    });
+    assert!(peak <= MEMORY_LIMIT_MB, "expected at most {MEMORY_LIMIT_MB} MB, got {peak} MB");
+}
