Count the time of a request from its last byte while it waits its turn

Cause: read_request (downstream/request.rs) counted from the moment at which hyper hands over a request, which for one that waits behind another is that one's answer.

Bytes that were left in the socket count from when the first of them was left, never too late. A request whose time is over at its turn is refused and not sent upstream.

--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -12,7 +12,6 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
 use thiserror::Error;
-use tokio::time::Instant;
 
 use crate::event_loop::{AcceptedRequest, EventLoop};
 use crate::reconfiguration::{ClassEntry, NameRegistry};
@@ -142,7 +141,8 @@
         subject: affinity_key(head.uri.query()),
         expected_work: cost.map(Duration::from_micros),
         is_client_retry: header_text(&head.headers, "x-retry") == Some("1"),
-        deadline: Instant::now() + client_timeout.saturating_sub(RESPONSE_MARGIN),
+        // Requests that were sent together are read one after another; the time of each counts from its last byte.
+        deadline: client.received_at() + client_timeout.saturating_sub(RESPONSE_MARGIN),
         client: client.downgrade(),
         call: Rc::new(Call {
             method: head.method,
--- a/crates/proxy/tests/pipelined_requests.rs
+++ b/crates/proxy/tests/pipelined_requests.rs
@@ -67,6 +67,32 @@
     assert_eq!(upstream.requests().len(), AT_ONCE + 1);
 }
 
+/// Guards against requests that run after their time: the time of a request that waits for the answer to an earlier one
+/// was counted from that answer and not from its own last byte. One whose time ends before its turn is refused, and no
+/// upstream gets it.
+#[test]
+fn the_time_of_a_waiting_request_counts_from_its_last_byte() {
+    let deadline = Duration::from_secs(1);
+    for body_bytes in [SHORT_BODY_BYTES, LONG_BODY_BYTES] {
+        let upstream = Upstream::start(|_, _| Reply::Silence);
+        let (balancer, _discovery) = Balancer::with(&[endpoint("s-1", upstream.address, 0, "ready")], 30.0);
+        let mut client = balancer.client();
+        client.send_bytes(&orders_at_once(body_bytes, deadline.as_secs_f64()));
+        let sent_at = Instant::now();
+        for number in 0..AT_ONCE {
+            let answer = client.answer().expect("each request is answered");
+            let expected = if number == 0 { 502 } else { 503 };
+            assert_eq!(answer.status(), expected, "bodies of {body_bytes} bytes, request {number}");
+            assert!(
+                sent_at.elapsed() < deadline + ANSWER_SLACK,
+                "bodies of {body_bytes} bytes, request {number}: answered after {:?}",
+                sent_at.elapsed()
+            );
+        }
+        assert_eq!(upstream.requests().len(), 1, "bodies of {body_bytes} bytes: requests at the upstream");
+    }
+}
+
 /// Guards against requests that a drain loses: when connections are closed behind an answer, further requests may have
 /// been read on them. All of these are answered, whatever their framing, but none for a client that has disconnected.
 #[test]
