Read the clock once for each read of a request, and never for an upstream's

The time of arrival added a reading of the clock to each read from a connection to an upstream, where it is not used, and a second one at each request's head.

--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -37,6 +37,8 @@
 struct Shared {
     /// The TCP stream, which is never borrowed across an await.
     stream: RefCell<TcpStream>,
+    /// Whether this is the server's side, on which requests are told apart and their arrival counts.
+    reads_requests: bool,
     /// Bytes that have been read from the stream but not delivered to hyper yet.
     read_ahead: RefCell<ReadAhead>,
     read_mode: Cell<ReadMode>,
@@ -86,21 +88,22 @@
     /// be lost when the connection is closed. A failure to set the option is ignored.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
-        Self::with_limit(stream, ReadLimit::Unlimited)
+        Self::with_limit(stream, false, ReadLimit::Unlimited)
     }
 
     /// Wraps an accepted stream like [`Self::new`], for a server that reads one request at a time. The server must call
     /// [`Self::head_complete`] and [`Self::response_ready`] for each request.
     #[must_use]
     pub fn for_server(stream: TcpStream) -> Self {
-        Self::with_limit(stream, ReadLimit::ToHeadEnd(HeadEnd::default()))
+        Self::with_limit(stream, true, ReadLimit::ToHeadEnd(HeadEnd::default()))
     }
 
-    fn with_limit(stream: TcpStream, limit: ReadLimit) -> Self {
+    fn with_limit(stream: TcpStream, reads_requests: bool, limit: ReadLimit) -> Self {
         // A connection on which the option cannot be set is still usable.
         let _ = stream.set_nodelay(true);
         Self(Rc::new(Shared {
             stream: RefCell::new(stream),
+            reads_requests,
             read_ahead: RefCell::default(),
             read_mode: Cell::new(ReadMode::Ahead),
             unread_since: Cell::new(None),
@@ -274,9 +277,9 @@
         self.0.readiness_cleared.set(false);
     }
 
-    /// The time at which bytes that have just been read arrived, or an earlier time if they may have been left unread.
-    fn arrival(&self) -> Instant {
-        self.0.unread_since.get().unwrap_or_else(Instant::now)
+    /// The time at which bytes that were read at `now` arrived, or an earlier time if they may have been left unread.
+    fn arrival(&self, now: Instant) -> Instant {
+        self.0.unread_since.get().unwrap_or(now)
     }
 
     /// Whether the buffer is full without holding the head of a request. Such a head is too large to be valid, and
@@ -326,12 +329,12 @@
     }
 
     /// Returns how many of the given bytes may be delivered to hyper, and records when they arrived and, if a head begins
-    /// in them, the present time.
-    fn deliverable(&self, bytes: &[u8], arrived_at: Instant) -> usize {
+    /// in them, the present time `now`.
+    fn deliverable(&self, bytes: &[u8], arrived_at: Instant, now: Instant) -> usize {
         let advance = self.0.limit.borrow_mut().advance(bytes);
         self.0.received_at.set(arrived_at);
         if advance.in_head && self.head_since().is_none() {
-            self.0.head_since.set(Some(Instant::now()));
+            self.0.head_since.set(Some(now));
             self.0.head_begins.notify_waiters();
         }
         advance.bytes
@@ -342,7 +345,7 @@
         let mut read_ahead = self.0.read_ahead.borrow_mut();
         let Some(Oldest { bytes, arrived_at }) = read_ahead.oldest() else { return };
         let offered = &bytes[..bytes.len().min(buffer.remaining())];
-        let delivered = self.deliverable(offered, arrived_at);
+        let delivered = self.deliverable(offered, arrived_at, Instant::now());
         buffer.put_slice(&offered[..delivered]);
         read_ahead.consume(delivered);
     }
@@ -351,9 +354,13 @@
     fn poll_deliver(&self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(self.poll_receive(context, buffer))?;
-        let arrived_at = self.arrival();
+        if !self.0.reads_requests {
+            return Poll::Ready(Ok(()));
+        }
+        let now = Instant::now();
+        let arrived_at = self.arrival(now);
         let received = &buffer.filled()[before..];
-        let delivered = self.deliverable(received, arrived_at);
+        let delivered = self.deliverable(received, arrived_at, now);
         self.0.read_ahead.borrow_mut().push(&received[delivered..], arrived_at);
         buffer.set_filled(before + delivered);
         Poll::Ready(Ok(()))
@@ -370,7 +377,7 @@
     /// Stores bytes that hyper has not asked for yet, unless bytes are discarded.
     fn store_read_ahead(&self, bytes: &[u8]) {
         if !self.discards() {
-            self.0.read_ahead.borrow_mut().push(bytes, self.arrival());
+            self.0.read_ahead.borrow_mut().push(bytes, self.arrival(Instant::now()));
         }
     }
 
