--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -195,11 +195,11 @@
     pub fn has_ended(&self) -> bool {
         let mut scratch = [0; SCRATCH_BYTES];
         for _ in 0..READS_PER_TURN {
-            let room = self.room();
-            if room == 0 {
+            let size = self.read_ahead_size();
+            if size == 0 {
                 return has_peer_closed(&*self.0.stream.borrow());
             }
-            match self.receive_now(&mut scratch[..room]) {
+            match self.receive_now(&mut scratch[..size]) {
                 Ok(0) => return true,
                 Ok(bytes) => self.store_read_ahead(&scratch[..bytes]),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
@@ -218,11 +218,11 @@
     pub fn poll_disconnected(&self, context: &mut Context<'_>) -> Poll<()> {
         let mut scratch = [0; SCRATCH_BYTES];
         for _ in 0..READS_PER_TURN {
-            let room = self.room();
-            if room == 0 {
+            let size = self.read_ahead_size();
+            if size == 0 {
                 return self.poll_closed_behind_unread(context);
             }
-            let mut buffer = ReadBuf::new(&mut scratch[..room]);
+            let mut buffer = ReadBuf::new(&mut scratch[..size]);
             match ready!(self.poll_receive(context, &mut buffer)) {
                 Ok(()) if !buffer.filled().is_empty() => {}
                 _ => return Poll::Ready(()),
@@ -288,7 +288,7 @@
         let read_ahead = self.0.read_ahead.borrow();
         // Otherwise the head may have been delivered already, so that these bytes are a part of its body.
         let starts_with_head = !self.0.delivered_beyond_request.get();
-        starts_with_head && read_ahead.room() == 0 && !framing::contains_head(read_ahead.bytes())
+        starts_with_head && read_ahead.free_bytes() == 0 && !framing::contains_head(read_ahead.bytes())
     }
 
     /// Discards what has been read ahead and all that is read from now on.
@@ -298,12 +298,12 @@
     }
 
     /// Number of bytes that may be read at once before hyper asks for them.
-    fn room(&self) -> usize {
+    fn read_ahead_size(&self) -> usize {
         if self.0.read_mode.get() == ReadMode::Ahead && self.holds_oversized_head() {
             self.discard_all();
         }
         match self.0.read_mode.get() {
-            ReadMode::Ahead => self.0.read_ahead.borrow().room().min(SCRATCH_BYTES),
+            ReadMode::Ahead => self.0.read_ahead.borrow().free_bytes().min(SCRATCH_BYTES),
             ReadMode::OnDemand => 0,
             ReadMode::Discard => SCRATCH_BYTES,
         }
--- a/crates/proxy/src/socket/read_ahead.rs
+++ b/crates/proxy/src/socket/read_ahead.rs
@@ -45,7 +45,7 @@
     }
 
     /// Number of bytes that may still be read ahead.
-    pub(super) fn room(&self) -> usize {
+    pub(super) fn free_bytes(&self) -> usize {
         READ_AHEAD_MAX_BYTES.saturating_sub(self.bytes.len())
     }
 
