--- a/crates/proxy/tests/common/settings.rs
+++ b/crates/proxy/tests/common/settings.rs
@@ -51,6 +51,13 @@
     .to_string()
 }
 
+/// Sets the memory limit of a configuration, in MB.
+pub fn with_memory_limit(configuration: &str, megabytes: u32) -> String {
+    let without = "\"limits\":{";
+    assert!(configuration.contains(without), "expected {without} in {configuration}");
+    configuration.replace(without, &format!("{without}\"memory_mb\":{megabytes},"))
+}
+
 /// Replaces the connect time-out in a configuration.
 pub fn with_dial_timeout(configuration: &str, seconds: f64) -> String {
     let default = "\"dialTimeoutS\":5.0";
