Keep less memory for each connection: small reads, copied heads, no idle handler

Reads deliver 4 KiB at most, the parts of a head that are used are copied, and the handler is boxed.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -60,7 +60,8 @@
         // once.
         let body = request.body().size_hint().exact();
         let complete_by = connection.begin_request(body, is_health_check(&request));
-        handle_request(connections, connection, request, complete_by)
+        // Boxed so that idle connections have no memory for it.
+        Box::pin(handle_request(connections, connection, request, complete_by))
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(HEAD_MAX_BYTES);
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, StatusCode, Uri};
 use thiserror::Error;
 
@@ -63,8 +64,22 @@
     value.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
 }
 
-/// The parts of a request's head that are checked against the settings.
+/// The parts of a request's head that the balancer uses. They are copies, because the head that hyper delivers keeps the
+/// whole read buffer of its connection alive.
 struct RequestHead {
+    method: Method,
+    uri: Uri,
+    host: Option<HeaderValue>,
+    id: Option<HeaderValue>,
+    key: Option<HeaderValue>,
+    tenant: Option<HeaderValue>,
+    deadline: Option<HeaderValue>,
+    expected_work: Option<Duration>,
+    is_client_retry: bool,
+}
+
+/// What a head says under the settings in force.
+struct CheckedHead {
     class: ClassId,
     tenant: Option<TenantId>,
     /// How long the client waits for the answer.
@@ -74,46 +89,70 @@
 }
 
 impl RequestHead {
-    fn read(head: &Parts, name_registry: &NameRegistry) -> Result<Self, BadRequest> {
-        let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+    fn copy_of(head: &Parts) -> Self {
+        let header = |name: &str| head.headers.get(name).map(copied_value);
+        let cost = header_text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
+        Self {
+            method: head.method.clone(),
+            uri: origin_form(&head.uri),
+            host: head.headers.get(HOST).map(copied_value),
+            id: header("x-request-id"),
+            key: header("idempotency-key"),
+            tenant: header("x-tenant"),
+            deadline: header("x-deadline"),
+            expected_work: cost.map(Duration::from_micros),
+            is_client_retry: header_text(&head.headers, "x-retry") == Some("1"),
+        }
+    }
+
+    fn check(&self, name_registry: &NameRegistry) -> Result<CheckedHead, BadRequest> {
+        let class = self.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let ClassEntry { id: class, parameters } =
             name_registry.class(class).ok_or(BadRequest::UnknownClass)?;
-        check_method(parameters.idempotency, head)?;
-        let tenant = match header_text(&head.headers, "x-tenant") {
+        self.check_method(parameters.idempotency)?;
+        let tenant = match self.tenant.as_ref().and_then(|value| value.to_str().ok()) {
             Some(name) => Some(name_registry.tenant(name).ok_or(BadRequest::UnknownTenant)?),
             None if name_registry.has_no_tenants() => None,
             None => return Err(BadRequest::UnknownTenant),
         };
         // A client that sends no deadline is assumed to wait for as long as its class allows.
-        let client_timeout = match head.headers.get("x-deadline") {
+        let client_timeout = match &self.deadline {
             Some(value) => value.to_str().ok().and_then(parse_seconds).ok_or(BadRequest::InvalidDeadline)?,
             None => parameters.deadline,
         };
         let must_not_repeat = parameters.idempotency == Idempotency::NotIdempotent;
-        Ok(Self {
+        Ok(CheckedHead {
             class,
             tenant,
             client_timeout: client_timeout.min(parameters.deadline * 10),
             must_not_repeat,
         })
     }
-}
 
-/// Checks that the method fits the idempotency of the class, and that the idempotency key is present if the class needs
-/// one.
-fn check_method(idempotency: Idempotency, head: &Parts) -> Result<(), BadRequest> {
-    match idempotency {
-        Idempotency::Idempotent if head.method != Method::GET => Err(BadRequest::Method),
-        Idempotency::IdempotencyKey { .. } if !head.headers.contains_key("idempotency-key") => {
-            Err(BadRequest::MissingIdempotencyKey)
-        }
-        Idempotency::IdempotencyKey { .. } | Idempotency::NotIdempotent if head.method != Method::POST => {
-            Err(BadRequest::Method)
+    /// Checks that the method fits the idempotency of the class, and that the idempotency key is present if the class
+    /// needs one.
+    fn check_method(&self, idempotency: Idempotency) -> Result<(), BadRequest> {
+        match idempotency {
+            Idempotency::Idempotent if self.method != Method::GET => Err(BadRequest::Method),
+            Idempotency::IdempotencyKey { .. } if self.key.is_none() => {
+                Err(BadRequest::MissingIdempotencyKey)
+            }
+            Idempotency::IdempotencyKey { .. } | Idempotency::NotIdempotent
+                if self.method != Method::POST =>
+            {
+                Err(BadRequest::Method)
+            }
+            _ => Ok(()),
         }
-        _ => Ok(()),
     }
 }
 
+/// Copies a header value into memory of its own.
+fn copied_value(value: &HeaderValue) -> HeaderValue {
+    // The bytes of a header value are always valid as such.
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 /// Reads a request to its last byte, which must arrive before the future `overdue` is ready. Not cancel safe: the part of
 /// the body that was read is lost, and the connection cannot be used any more.
 pub(super) async fn read_request(
@@ -123,33 +162,32 @@
     overdue: impl Future<Output = ()>,
 ) -> Result<AcceptedRequest, BadRequest> {
     let (head, body) = request.into_parts();
+    let head = RequestHead::copy_of(&head);
     let name_registry = event_loop.name_registry();
-    let mut checked = RequestHead::read(&head, &name_registry)?;
-    let key = head.headers.get("idempotency-key").cloned();
-    let id = head.headers.get("x-request-id").cloned().ok_or(BadRequest::MissingRequestId)?;
+    let mut checked = head.check(&name_registry)?;
+    let id = head.id.clone().ok_or(BadRequest::MissingRequestId)?;
     let body = read_body_unless(overdue, body).await?;
     // The settings may have changed while the body was read; the request is accepted under the settings now in force.
     let latest = event_loop.name_registry();
     if !Rc::ptr_eq(&name_registry, &latest) {
-        checked = RequestHead::read(&head, &latest)?;
+        checked = head.check(&latest)?;
     }
-    let RequestHead { class, tenant, client_timeout, must_not_repeat } = checked;
-    let cost = header_text(&head.headers, "x-cost-hint").and_then(|value| value.trim().parse().ok());
+    let CheckedHead { class, tenant, client_timeout, must_not_repeat } = checked;
     Ok(AcceptedRequest {
         class,
         tenant,
         subject: affinity_key(head.uri.query()),
-        expected_work: cost.map(Duration::from_micros),
-        is_client_retry: header_text(&head.headers, "x-retry") == Some("1"),
+        expected_work: head.expected_work,
+        is_client_retry: head.is_client_retry,
         // Requests that were sent together are read one after another; the time of each counts from its last byte.
         deadline: client.received_at() + client_timeout.saturating_sub(RESPONSE_MARGIN),
         client: client.downgrade(),
         call: Rc::new(Call {
             method: head.method,
-            host: head.headers.get(HOST).cloned().unwrap_or(HeaderValue::from_static("upstream")),
-            uri: origin_form(head.uri),
+            host: head.host.unwrap_or(HeaderValue::from_static("upstream")),
+            uri: head.uri,
             id,
-            key,
+            key: head.key,
             body,
             must_not_repeat,
         }),
@@ -167,12 +205,11 @@
     }
 }
 
-/// Converts a request target to origin form (path and query), as only that is forwarded.
-fn origin_form(uri: Uri) -> Uri {
-    if uri.scheme().is_none() {
-        return uri;
-    }
-    uri.into_parts().path_and_query.map(Uri::from).unwrap_or_default()
+/// Copies a request target in origin form (path and query), as only that is forwarded.
+fn origin_form(uri: &Uri) -> Uri {
+    let target = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    // A part of a valid target is valid.
+    Uri::try_from(target).unwrap_or_default()
 }
 
 /// The key for subject affinity, from the hexadecimal query parameter `k`.
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -24,7 +24,7 @@
 use peer_close::has_peer_closed;
 use read_ahead::{Oldest, ReadAhead};
 
-/// Largest number of bytes that are read at once before hyper asks for them.
+/// Largest number of bytes that are read from a socket, or delivered to hyper, at once.
 const SCRATCH_BYTES: usize = 4096;
 /// Maximum number of consecutive reads from one socket before other tasks may run.
 const READS_PER_TURN: usize = 16;
@@ -344,25 +344,29 @@
     fn deliver_read_ahead(&self, buffer: &mut ReadBuf<'_>) {
         let mut read_ahead = self.0.read_ahead.borrow_mut();
         let Some(Oldest { bytes, arrived_at }) = read_ahead.oldest() else { return };
-        let offered = &bytes[..bytes.len().min(buffer.remaining())];
+        let offered = &bytes[..bytes.len().min(buffer.remaining()).min(SCRATCH_BYTES)];
         let delivered = self.deliverable(offered, arrived_at, Instant::now());
         buffer.put_slice(&offered[..delivered]);
         read_ahead.consume(delivered);
     }
 
-    /// Reads from the stream, delivers bytes of the current request to hyper and stores those beyond it.
+    /// Reads from the stream, delivers bytes of the current message to hyper and stores those beyond it.
     fn poll_deliver(&self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(self.poll_receive(context, buffer))?;
+        // hyper doubles the buffer of a connection each time a read fills it, and keeps it.
+        let mut scratch = [MaybeUninit::uninit(); SCRATCH_BYTES];
+        let size = buffer.remaining().min(SCRATCH_BYTES);
+        let mut received = ReadBuf::uninit(&mut scratch[..size]);
+        ready!(self.poll_receive(context, &mut received))?;
+        let received = received.filled();
         if !self.0.reads_requests {
+            buffer.put_slice(received);
             return Poll::Ready(Ok(()));
         }
         let now = Instant::now();
         let arrived_at = self.arrival(now);
-        let received = &buffer.filled()[before..];
         let delivered = self.deliverable(received, arrived_at, now);
+        buffer.put_slice(&received[..delivered]);
         self.0.read_ahead.borrow_mut().push(&received[delivered..], arrived_at);
-        buffer.set_filled(before + delivered);
         Poll::Ready(Ok(()))
     }
 
