Hold no more memory for peers than limits.memory_mb leaves

What callers saw: a process of 32 MB and 1,024 descriptors was killed while hundreds of clients wrote large requests slowly, stopped half way or got long answers; all requests in progress were lost. Cause: limits.memory_mb was not read, and nothing bounded the sum of what connections held: hyper's two buffers of 8 KiB for each open connection, idle or not (some 20 KB of resident memory), bodies of requests and of answers, bytes read ahead. Change: crates/proxy/src/memory divides the limit between HTTP buffers, bodies of requests, answers and bytes read ahead, and each is counted before it is held. A connection has HTTP buffers only while it has something to read, write or answer. A body that finds no room takes that of the incomplete one without progress for longest, whose request is read to its end and refused; an answer that finds none waits in its socket; a connection that finds no buffers takes those of the one that makes no progress. Small requests and answers are not counted, so that large ones can't keep them out. Without a limit in the configuration nothing changes but the sum of bytes read ahead.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -20,6 +20,10 @@
 const MIN_SOCKETS: usize = 48;
 /// Default of `limits.sockets`.
 const DEFAULT_SOCKETS: usize = 1024;
+/// Minimum of `limits.memory_mb`. With less memory the process could not hold its state and a few connections.
+const MIN_MEMORY_MB: f64 = 8.0;
+/// Maximum of `limits.memory_mb`: 1 TB, beyond which the value is a mistake.
+const MAX_MEMORY_MB: f64 = 1_048_576.0;
 /// Maximum number of parents. A balancer follows one at a time.
 const MAX_PARENTS: usize = 16;
 
@@ -87,11 +91,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: Option<f64>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { sockets: DEFAULT_SOCKETS }
+        Self { sockets: DEFAULT_SOCKETS, memory_mb: None }
     }
 }
 
@@ -119,6 +124,8 @@
     pub seed: u64,
     /// Maximum number of file descriptors that the process may hold.
     pub sockets: usize,
+    /// Maximum resident memory of the process in MB; `None` if it is not limited.
+    pub memory_mb: Option<usize>,
     /// The list of upstreams as last known, which may be stale.
     pub known: Option<Update>,
     /// The balancer's settings, read from the settings object of the configuration file.
@@ -174,6 +181,7 @@
             discovery: address("discovery", discovery)?,
             seed: seed(&file.seed)?,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb.map(memory_limit).transpose()?,
             known: file.known,
             distribution: file
                 .distribution
@@ -186,6 +194,15 @@
     }
 }
 
+/// Checks a memory limit in MB and rounds it down.
+fn memory_limit(megabytes: f64) -> Result<usize, ConfigError> {
+    if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&megabytes) {
+        return Err(invalid("limits.memory_mb", &megabytes.to_string()));
+    }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "the range was checked")]
+    Ok(megabytes as usize)
+}
+
 fn distribution(section: &DistributionSection, settings: &str) -> Result<Distribution, ConfigError> {
     if !(1..=MAX_PARENTS).contains(&section.parents.len()) {
         return Err(invalid("distribution.parents", &format!("{} addresses", section.parents.len())));
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,38 +1,25 @@
 //! Serves one client connection: reads and answers its requests one at a time, and closes it so that the last answer
 //! reaches the client.
 
-use std::convert::Infallible;
-use std::future::{Future, poll_fn};
-use std::pin::{Pin, pin};
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 
 use super::connection_set::ConnectionSet;
 use super::connection_state::ClientConnection;
-use super::health::{check_health, is_health_check};
-use super::response::respond;
+use super::http::{ConnectionEnd, HttpConnection};
 use super::shutdown::Phase;
-use crate::socket::Socket;
+use crate::memory::BufferPermit;
+use crate::socket::{Input, Socket};
 
-/// Idle time after which a connection that has carried a request is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a connection that is shut down waits for its client to close, while reading and discarding incoming bytes.
 /// Closing a socket with unread bytes resets the connection, and the client could lose the answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Largest head of a request. A larger head is not a valid request, and many of them must not exhaust the memory.
-const HEAD_MAX_BYTES: usize = 32 * 1024;
 
 /// Serves a client connection until it is closed.
 pub(super) async fn handle_connection(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) {
@@ -45,90 +32,102 @@
     }
 }
 
-/// How serving the requests of a client connection ended.
-#[derive(Debug, PartialEq, Eq)]
-enum ConnectionEnd {
-    /// The connection ended regularly: what was written must reach the client.
-    Completed,
-    /// The client has disconnected or has stopped reading.
-    ClientDisconnected,
+/// Serves the requests of a connection. It has HTTP buffers only while there is something to read, write or answer.
+async fn serve_requests(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) -> ConnectionEnd {
+    let mut close_reason = pin!(wait_for_close_reason(connections, connection));
+    loop {
+        let buffers = tokio::select! {
+            biased;
+            buffers = buffers_for_input(connections, connection) => buffers,
+            () = close_reason.as_mut() => return close_idle(connections, connection).await,
+            () = connection.idle_overdue() => return ConnectionEnd::Completed,
+        };
+        let Some(buffers) = buffers else { return ConnectionEnd::Completed };
+        let mut http = HttpConnection::new(connections, connection, buffers);
+        let until = async {
+            tokio::select! {
+                biased;
+                () = close_reason.as_mut() => Interruption::Close,
+                () = connection.buffers_unused() => Interruption::Idle,
+            }
+        };
+        match http.serve_until(until).await {
+            Err(end) => return end,
+            Ok(Interruption::Close) => return close(http, None).await,
+            Ok(Interruption::Idle) => {}
+        }
+    }
 }
 
-async fn serve_requests(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) -> ConnectionEnd {
-    let service = service_fn(|request: Request<Incoming>| {
-        // Called before the future is first polled, so that the connection counts as having a request in progress at
-        // once.
-        let body = request.body().size_hint().exact();
-        let complete_by = connection.begin_request(body, is_health_check(&request));
-        // Boxed so that idle connections have no memory for it.
-        Box::pin(handle_request(connections, connection, request, complete_by))
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(HEAD_MAX_BYTES);
-    let mut http_connection =
-        pin!(builder.serve_connection(TokioIo::new(connection.socket.clone()), service));
-    let close_reason = wait_for_close_reason(connections, connection);
-    if let Some(end) = serve_until(http_connection.as_mut(), connection, close_reason).await {
-        return end;
+/// Why serving requests on an HTTP connection is interrupted.
+enum Interruption {
+    /// The client connection is to be closed.
+    Close,
+    /// The client connection is idle, so that it needs no HTTP buffers.
+    Idle,
+}
+
+/// Waits until the client has sent something and there are HTTP buffers for it; `None` if it has disconnected. Cancel
+/// safe.
+async fn buffers_for_input(
+    connections: &ConnectionSet,
+    connection: &ClientConnection,
+) -> Option<BufferPermit> {
+    match connection.socket.input().await {
+        Input::End => None,
+        Input::Bytes => Some(connections.acquire_buffers().await),
     }
+}
+
+/// Closes a connection that has no HTTP buffers, unless a request arrives in its grace period.
+async fn close_idle(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) -> ConnectionEnd {
     connection.socket.stop_reading_ahead();
-    // Bytes that arrived while the process was delayed are in the socket, but hyper has not been notified of them yet.
-    let readiness_polled = yield_for_socket_readiness(&connection.socket);
-    if let Some(end) = serve_until(http_connection.as_mut(), connection, readiness_polled).await {
-        return end;
+    let grace_until = connection.grace_until();
+    // Bytes that arrived while the process was delayed are in the socket, but the runtime has not reported them yet.
+    yield_for_socket_readiness(&connection.socket).await;
+    if connection.socket.has_nothing_to_read() && !connection.socket.may_hold_requests() {
+        let Some(until) = grace_until else { return ConnectionEnd::Completed };
+        tokio::select! {
+            biased;
+            _ = connection.socket.input() => {}
+            () = sleep_until(until) => return ConnectionEnd::Completed,
+        }
     }
-    if let Some(end) = serve_until(http_connection.as_mut(), connection, idle_or_unread(connection)).await {
-        return end;
+    let buffers = connections.event_loop().memory().count_client_buffers();
+    close(HttpConnection::new(connections, connection, buffers), grace_until).await
+}
+
+/// Closes a connection once the requests that have been read are answered. A request that is not complete gets a grace
+/// period: until `grace_until` if that is given.
+async fn close(mut http: HttpConnection<'_>, grace_until: Option<Instant>) -> ConnectionEnd {
+    match close_after_requests(&mut http, grace_until).await {
+        Ok(end) | Err(end) => end,
     }
+}
+
+async fn close_after_requests(
+    http: &mut HttpConnection<'_>,
+    grace_until: Option<Instant>,
+) -> Result<ConnectionEnd, ConnectionEnd> {
+    let connection = http.connection;
+    connection.socket.stop_reading_ahead();
+    // Bytes that arrived while the process was delayed are in the socket, but hyper has not been notified of them yet.
+    http.serve_until(yield_for_socket_readiness(&connection.socket)).await?;
+    http.serve_until(idle_or_unread(connection)).await?;
     // hyper would close a connection without a request in progress at once, although a request may be on its way, in
     // the socket or partly read. Such a request gets a grace period, after which the connection is closed like the
     // others.
-    if let Some(until) = connection.grace_until() {
-        if let Some(end) = serve_until(http_connection.as_mut(), connection, sleep_until(until)).await {
-            return end;
-        }
+    if let Some(until) = grace_until.or_else(|| connection.grace_until()) {
+        http.serve_until(sleep_until(until)).await?;
         if !connection.has_carried_request.get() {
-            return ConnectionEnd::Completed;
-        }
-        if let Some(end) = serve_until(http_connection.as_mut(), connection, idle_or_unread(connection)).await
-        {
-            return end;
+            return Ok(ConnectionEnd::Completed);
         }
+        http.serve_until(idle_or_unread(connection)).await?;
     }
     // This closes the connection at once if it is between requests, else after the answer in progress.
-    http_connection.as_mut().graceful_shutdown();
-    let unread_timeout = connection.unread_answer_overdue();
-    serve_until(http_connection, connection, unread_timeout)
-        .await
-        .unwrap_or(ConnectionEnd::ClientDisconnected)
-}
-
-/// Serves the connection until it ends, and returns how, or until the future `until` is ready. Cancel safe as long as
-/// `http_connection` is kept: serving can then be resumed.
-async fn serve_until<T>(
-    http_connection: Pin<&mut impl Future<Output = T>>,
-    connection: &ClientConnection,
-    until: impl Future<Output = ()>,
-) -> Option<ConnectionEnd> {
-    tokio::select! {
-        biased;
-        _ = http_connection => Some(ConnectionEnd::Completed),
-        () = client_disconnected(connection) => Some(ConnectionEnd::ClientDisconnected),
-        () = until => None,
-    }
-}
-
-/// Waits until a client that awaits an answer disconnects. hyper does not detect this if the client has sent further
-/// bytes before the end of its connection, because it does not read them yet. Cancel safe.
-async fn client_disconnected(connection: &ClientConnection) {
-    poll_fn(|context| {
-        if connection.awaiting_answer.get() {
-            connection.socket.poll_disconnected(context)
-        } else {
-            Poll::Pending
-        }
-    })
-    .await;
+    http.shut_down_gracefully();
+    http.serve_until(connection.unread_answer_overdue()).await?;
+    Ok(ConnectionEnd::ClientDisconnected)
 }
 
 /// Waits until there is a reason to close the connection once it is between requests. Cancel safe except that the
@@ -161,31 +160,3 @@
         yield_now().await;
     }
 }
-
-/// Answers a request, whose last byte must arrive before `complete_by`. If the client disconnects, the future is dropped
-/// with the connection; `respond` handles this case.
-async fn handle_request(
-    connections: &ConnectionSet,
-    connection: &ClientConnection,
-    request: Request<Incoming>,
-    complete_by: Instant,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    let event_loop = connections.event_loop();
-    // The request's attempt needs a socket too, and idle clients must not keep it from getting one.
-    if event_loop.pool().is_nearly_full() {
-        connections.evict_idle_connection();
-    }
-    let mut response = if is_health_check(&request) {
-        check_health(event_loop)
-    } else {
-        respond(connections, connection, request, complete_by).await
-    };
-    connection.end_request();
-    let is_to_close =
-        connections.phase() != Phase::Serving || event_loop.pool().is_full() || connection.socket.discards();
-    // Requests that have been read are answered before the connection is closed.
-    if is_to_close && connection.is_idle() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    Ok(response)
-}
--- a/crates/proxy/src/downstream/connection_set.rs
+++ b/crates/proxy/src/downstream/connection_set.rs
@@ -5,14 +5,20 @@
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::TcpStream;
-use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::{Mutex, watch};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::connection_state::ClientConnection;
 use super::shutdown::Phase;
 use crate::event_loop::EventLoop;
+use crate::memory::BufferPermit;
+
+/// Interval between checks for free HTTP buffers, and number of connections that give up theirs at each.
+const BUFFER_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+const BUFFERS_PER_CHECK: usize = 4;
 
 /// The open client connections and the state that they share, such as the phase of the graceful shutdown.
 pub(super) struct ConnectionSet {
@@ -23,6 +29,8 @@
     next_number: Cell<u64>,
     /// Deadline for answers to requests that arrive after SIGTERM; `None` before SIGTERM.
     answer_by: watch::Sender<Option<Instant>>,
+    /// Held by the connection whose turn it is to get HTTP buffers.
+    buffer_turn: Mutex<()>,
 }
 
 /// A connection that has been inserted into the set, with its number.
@@ -48,6 +56,7 @@
             open: RefCell::new(BTreeMap::new()),
             next_number: Cell::new(0),
             answer_by: watch::Sender::new(None),
+            buffer_turn: Mutex::new(()),
         }
     }
 
@@ -96,6 +105,31 @@
         }
     }
 
+    /// Waits for HTTP buffers for a client connection, in the order in which connections ask for them. If there are none,
+    /// connections that make no progress give up theirs. Cancel safe.
+    pub(super) async fn acquire_buffers(&self) -> BufferPermit {
+        let _turn = self.buffer_turn.lock().await;
+        let (pool, memory) = (self.event_loop.pool(), self.event_loop.memory());
+        loop {
+            if !memory.client_buffers_exhausted() && (!memory.buffers_exhausted() || pool.close_unused()) {
+                return memory.count_client_buffers();
+            }
+            self.free_buffers();
+            sleep(BUFFER_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn free_buffers(&self) {
+        let now = Instant::now();
+        let open = self.open.borrow();
+        let mut holders: Vec<_> =
+            open.values().filter(|connection| connection.may_free_buffers(now)).collect();
+        holders.sort_by_key(|connection| connection.buffer_order());
+        for connection in holders.into_iter().take(BUFFERS_PER_CHECK) {
+            connection.free_buffers();
+        }
+    }
+
     /// Starts the drain: requests that arrive from now on must be answered by `answer_by`.
     pub(super) fn start_drain(&self, answer_by: Instant) {
         self.answer_by.send_replace(Some(answer_by));
--- a/crates/proxy/src/downstream/connection_state.rs
+++ b/crates/proxy/src/downstream/connection_state.rs
@@ -27,6 +27,12 @@
 const HEAD_TIMEOUT: Duration = FIRST_REQUEST_TIMEOUT;
 /// Time from the end of a later request's head within which its body must be complete.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle time after which a connection that has carried a request is closed.
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Idle time after which a connection has no HTTP buffers any more.
+const BUFFER_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without progress after which a connection may have to give up its HTTP buffers.
+const MIN_STALL: Duration = Duration::from_millis(20);
 /// How long an answer may remain unread by the client once its connection is to be closed.
 const UNREAD_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,11 +47,19 @@
     pub(super) awaiting_answer: Cell<bool>,
     /// Whether the connection has carried a request; a health check alone does not count.
     pub(super) has_carried_request: Cell<bool>,
+    /// Time since which the connection has HTTP buffers; `None` if it has none.
+    pub(super) buffered_since: Cell<Option<Instant>>,
+    /// Whether the body of a request is being received.
+    pub(super) receiving_body: Cell<bool>,
     opened_at: Instant,
     /// Time at which the connection was accepted or, later, at which its latest answer was ready.
     idle_since: Cell<Instant>,
     /// Notified to close the connection once it is between requests.
     close: Notify,
+    /// Notified to give up the HTTP buffers of an idle connection.
+    release: Notify,
+    /// Notified to give up a body that is being received.
+    abandon_body: Notify,
 }
 
 impl ClientConnection {
@@ -56,9 +70,13 @@
             evicted: Cell::new(false),
             awaiting_answer: Cell::new(false),
             has_carried_request: Cell::new(false),
+            buffered_since: Cell::new(None),
+            receiving_body: Cell::new(false),
             opened_at: Instant::now(),
             idle_since: Cell::new(Instant::now()),
             close: Notify::new(),
+            release: Notify::new(),
+            abandon_body: Notify::new(),
         }
     }
 
@@ -94,6 +112,72 @@
         (self.socket.head_since().is_some(), self.idle_since.get())
     }
 
+    /// Whether the connection could give up its HTTP buffers: it has some and has made no progress for a moment, and no
+    /// request that has been read awaits its answer.
+    pub(super) fn may_free_buffers(&self, now: Instant) -> bool {
+        let progress = self.latest_progress();
+        let awaits_input = self.is_idle() || self.receiving_body.get();
+        awaits_input
+            && !self.evicted.get()
+            && !self.socket.is_write_blocked()
+            && self.buffered_since.get().is_some()
+            && now.saturating_duration_since(progress) >= MIN_STALL
+    }
+
+    /// Sort key for giving up HTTP buffers, the least of which is first: connections between requests come before those
+    /// with a part of a request, and those without progress for longest come first.
+    pub(super) fn buffer_order(&self) -> (bool, Instant) {
+        (!self.is_between_requests(), self.latest_progress())
+    }
+
+    /// Gives up the HTTP buffers: a connection between requests stays open without them, and any other is closed with an
+    /// answer that refuses its request.
+    pub(super) fn free_buffers(&self) {
+        if self.is_between_requests() {
+            self.release.notify_one();
+        } else {
+            self.evict();
+            self.abandon_body.notify_one();
+        }
+    }
+
+    /// Waits until the body that is being received is to be given up. Cancel safe.
+    pub(super) async fn body_abandoned(&self) {
+        self.abandon_body.notified().await;
+    }
+
+    /// Waits until the HTTP buffers may be dropped, because the connection has been between requests for
+    /// [`BUFFER_IDLE_TIMEOUT`] or its buffers are needed. It must be polled after the HTTP connection in the same task.
+    /// Cancel safe.
+    pub(super) async fn buffers_unused(&self) {
+        loop {
+            let is_needed = tokio::select! {
+                () = self.release.notified() => true,
+                () = sleep(BUFFER_IDLE_TIMEOUT) => false,
+            };
+            let is_due = is_needed || self.idle_since.get().elapsed() >= BUFFER_IDLE_TIMEOUT;
+            if is_due && self.is_between_requests() && !self.socket.is_write_blocked() {
+                return;
+            }
+        }
+    }
+
+    /// Waits until a connection without HTTP buffers has been idle for too long. Cancel safe.
+    pub(super) async fn idle_overdue(&self) {
+        sleep_until(self.idle_since.get() + IDLE_TIMEOUT).await;
+    }
+
+    /// Whether the connection is idle and no head has begun to arrive.
+    fn is_between_requests(&self) -> bool {
+        self.is_idle() && self.socket.head_since().is_none()
+    }
+
+    /// Time at which the latest byte arrived or the connection got its HTTP buffers.
+    fn latest_progress(&self) -> Instant {
+        let received_at = self.socket.received_at();
+        self.buffered_since.get().map_or(received_at, |since| since.max(received_at))
+    }
+
     /// Closes the connection once it is between requests. It is marked as evicted so that the next eviction chooses
     /// another.
     pub(super) fn evict(&self) {
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -9,6 +9,7 @@
 mod connection_set;
 mod connection_state;
 mod health;
+mod http;
 mod listener;
 mod request;
 mod response;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -6,7 +6,6 @@
 
 use balancer_policy::interface::{ClassId, Idempotency, TenantId};
 use bytes::Bytes;
-use config_distribution::host::body::{BodyError, read_body};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
@@ -15,6 +14,7 @@
 use thiserror::Error;
 
 use crate::event_loop::{AcceptedRequest, EventLoop};
+use crate::memory::{ReceiveError, RequestBodies};
 use crate::reconfiguration::{ClassEntry, NameRegistry};
 use crate::socket::Socket;
 use crate::upstream::{Call, MAX_BODY_BYTES};
@@ -22,7 +22,7 @@
 /// Time subtracted from a client's deadline, so that the answer arrives before the deadline.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 
-/// The reason why a client's request is malformed. The error texts are sent to the client.
+/// The reason why a client's request is not accepted. The error texts are sent to the client.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub(super) enum BadRequest {
     #[error("no such class")]
@@ -43,6 +43,12 @@
     Body,
     #[error("the body came too slowly")]
     BodyTimedOut,
+    /// The request made no progress, and the memory of its connection is needed for others.
+    #[error("refused, as the body came too slowly")]
+    Abandoned,
+    /// The request is valid and was read to its end, but there was no room to keep it.
+    #[error("refused")]
+    NoMemory,
 }
 
 impl BadRequest {
@@ -50,6 +56,7 @@
         match self {
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory | Self::Abandoned => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -166,7 +173,7 @@
     let name_registry = event_loop.name_registry();
     let mut checked = head.check(&name_registry)?;
     let id = head.id.clone().ok_or(BadRequest::MissingRequestId)?;
-    let body = read_body_unless(overdue, body).await?;
+    let body = receive_body_unless(overdue, body, &event_loop.memory().request_bodies).await?;
     // The settings may have changed while the body was read; the request is accepted under the settings now in force.
     let latest = event_loop.name_registry();
     if !Rc::ptr_eq(&name_registry, &latest) {
@@ -194,12 +201,17 @@
     })
 }
 
-async fn read_body_unless(overdue: impl Future<Output = ()>, body: Incoming) -> Result<Bytes, BadRequest> {
+async fn receive_body_unless(
+    overdue: impl Future<Output = ()>,
+    body: Incoming,
+    bodies: &RequestBodies,
+) -> Result<Bytes, BadRequest> {
     tokio::select! {
         biased;
-        body = read_body(body, MAX_BODY_BYTES) => body.map_err(|error| match error {
-            BodyError::TooLarge => BadRequest::TooLarge,
-            BodyError::Connection(_) => BadRequest::Body,
+        body = bodies.receive(body, MAX_BODY_BYTES) => body.map_err(|error| match error {
+            ReceiveError::TooLarge => BadRequest::TooLarge,
+            ReceiveError::NoMemory => BadRequest::NoMemory,
+            ReceiveError::Connection(_) => BadRequest::Body,
         }),
         () = overdue => Err(BadRequest::BodyTimedOut),
     }
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -43,7 +43,16 @@
             () = drain_overdue => {}
         }
     };
-    match read_request(event_loop, request, &connection.socket, overdue).await {
+    connection.receiving_body.set(true);
+    let read = tokio::select! {
+        biased;
+        read = read_request(event_loop, request, &connection.socket, overdue) => read,
+        () = connection.body_abandoned() => Err(BadRequest::Abandoned),
+    };
+    connection.receiving_body.set(false);
+    match read {
+        // The request was read to its end, so that the connection can carry another.
+        Err(BadRequest::NoMemory) => answer_response(Answer::Refused { retry_after: None }),
         Err(error) => error_response(&error),
         // An attempt would get no socket either. Nothing has run, so the request is refused.
         Ok(_) if event_loop.pool().is_full() => answer_response(Answer::Refused { retry_after: None }),
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -26,10 +26,12 @@
     DiscoveryWatchError, FirstLineTimeout, MAX_NOTIFICATION_DELAY, Update, WatchObserver,
 };
 use crate::endpoint_table::{AppliedList, EndpointTable, ListSource};
-use crate::pool::{Pool, PoolStats};
+use crate::memory::{Memory, MemoryPlan};
+use crate::pool::{Pool, PoolLimits, PoolStats};
 use crate::reconfiguration::{self, NameRegistry, Reconfigurable, ReconfigureError};
 use crate::request_table::RequestTable;
 use crate::telemetry::counters::{self, Counters};
+use crate::upstream::pool;
 
 pub use crate::request_table::{AcceptedRequest, Answer};
 
@@ -134,7 +136,14 @@
             first_line_timeout,
             pool: {
                 let this = Weak::clone(this);
-                Pool::new(loaded.connect_timeout, idle_timeout, config.sockets, move |upstream| {
+                let sockets = pool::max_sockets(config.sockets);
+                let limits = PoolLimits {
+                    connect_timeout: loaded.connect_timeout,
+                    idle_timeout,
+                    sockets,
+                    memory: Memory::new(MemoryPlan::new(config.memory_mb, sockets)),
+                };
+                Pool::new(limits, move |upstream| {
                     if let Some(event_loop) = this.upgrade() {
                         event_loop.handle(Event::Connected(upstream));
                     }
@@ -174,6 +183,12 @@
         &self.pool
     }
 
+    /// Returns the budgets of the memory that peers can make the process hold.
+    #[must_use]
+    pub fn memory(&self) -> &Memory {
+        self.pool.memory()
+    }
+
     /// Whether the health check passes: there is a list of upstreams, and discovery's first update and the first
     /// distributed settings have arrived or 500 ms have passed since the start. The list of the configuration may be
     /// stale, so a new process first gives discovery this time to send a current one.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`request_table`] | requests in flight and their attempts |
 //! | [`endpoint_table`] | endpoints: ids, addresses, readiness, drains |
 //! | [`clock`] | start times of upstreams; the only module that reads the wall clock |
+//! | [`memory`] | the memory that peers can make the process hold, and its limits |
 //! | [`event_loop`] | passes events to the policy and carries out its actions |
 //! | [`telemetry`] | counters and log |
 //! | [`socket`] | a TCP socket that detects the peer's close and limits how far HTTP code may read |
@@ -26,15 +27,16 @@
 //! [`upstream::AttemptContext`].
 //!
 //! ```text
-//! downstream -----> event_loop, config, reconfiguration, upstream, socket
-//! event_loop -----> config, reconfiguration, discovery, endpoint_table, request_table, telemetry, upstream
+//! downstream -----> event_loop, config, reconfiguration, upstream, socket, memory
+//! event_loop -----> config, reconfiguration, discovery, endpoint_table, request_table, telemetry, upstream, memory
 //! reconfiguration -> config, name_registry, upstream
 //! config ---------> clock, discovery
 //! endpoint_table -> clock, discovery
 //! discovery ------> upstream
 //! request_table --> socket, upstream
-//! upstream -------> socket
-//! clock, name_registry, socket: none
+//! upstream -------> socket, memory
+//! socket ---------> memory
+//! clock, name_registry, memory: none
 //! all -> telemetry::log
 //! ```
 
@@ -46,6 +48,7 @@
 pub mod downstream;
 pub mod endpoint_table;
 pub mod event_loop;
+pub mod memory;
 pub mod name_registry;
 pub mod reconfiguration;
 pub mod request_table;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -51,6 +51,8 @@
     delivered_beyond_request: Cell<bool>,
     /// Time at which the latest byte that was delivered to hyper arrived, or an earlier time.
     received_at: Cell<Instant>,
+    /// Whether the latest write could not be completed at once, so that hyper may hold bytes to write.
+    write_blocked: Cell<bool>,
     /// How far hyper may read at present.
     limit: RefCell<ReadLimit>,
     /// When a partly received head began to be delivered to hyper, or when the last byte of the previous answer was
@@ -71,6 +73,15 @@
     Discard,
 }
 
+/// What a socket has for its reader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Input {
+    /// Bytes to read.
+    Bytes,
+    /// The end of the stream, or an error of the connection.
+    End,
+}
+
 /// A weak handle to a socket, which does not keep it open.
 #[derive(Debug, Clone)]
 pub struct WeakSocket(Weak<Shared>);
@@ -110,6 +121,7 @@
             readiness_cleared: Cell::new(false),
             delivered_beyond_request: Cell::new(false),
             received_at: Cell::new(Instant::now()),
+            write_blocked: Cell::new(false),
             limit: RefCell::new(limit),
             head_since: Cell::new(None),
             head_begins: Notify::new(),
@@ -182,6 +194,39 @@
         peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Waits until there is something to read, without reading it. Cancel safe.
+    pub async fn input(&self) -> Input {
+        std::future::poll_fn(|context| self.poll_input(context)).await
+    }
+
+    fn poll_input(&self, context: &mut Context<'_>) -> Poll<Input> {
+        if !self.0.read_ahead.borrow().is_empty() {
+            return Poll::Ready(Input::Bytes);
+        }
+        if self.0.readiness_cleared.get() && !self.has_nothing_to_read() {
+            return Poll::Ready(Input::Bytes);
+        }
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = self.0.stream.borrow().poll_peek(context, &mut ReadBuf::uninit(&mut byte));
+        if peeked.is_pending() {
+            self.note_read_to_end();
+        }
+        peeked.map(|peeked| if matches!(peeked, Ok(bytes) if bytes > 0) { Input::Bytes } else { Input::End })
+    }
+
+    /// Whether hyper holds bytes that it could not write yet. It is up to date after hyper has been polled.
+    #[must_use]
+    pub fn is_write_blocked(&self) -> bool {
+        self.0.write_blocked.get()
+    }
+
+    /// Takes back bytes that were delivered to hyper and not used by it.
+    pub fn take_back(&self, bytes: &[u8]) {
+        self.0.read_ahead.borrow_mut().push(bytes, self.received_at());
+        self.0.head_since.set(None);
+        self.response_ready();
+    }
+
     /// Creates a weak handle, which does not keep the socket open.
     #[must_use]
     pub fn downgrade(&self) -> WeakSocket {
@@ -370,9 +415,10 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Restarts the time of a partly received head after each write, so that it counts from the end of the previous
-    /// answer.
-    fn restart_head_time(&self, done: &Poll<io::Result<usize>>) {
+    /// Notes whether a write was blocked. Restarts the time of a partly received head after each write, so that it counts
+    /// from the end of the previous answer.
+    fn note_write(&self, done: &Poll<io::Result<usize>>) {
+        self.0.write_blocked.set(done.is_pending());
         if matches!(done, Poll::Ready(Ok(_))) && self.head_since().is_some() {
             self.0.head_since.set(Some(Instant::now()));
         }
@@ -444,7 +490,7 @@
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(context, bytes);
-        self.restart_head_time(&done);
+        self.note_write(&done);
         done
     }
 
@@ -462,7 +508,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(context, parts);
-        self.restart_head_time(&done);
+        self.note_write(&done);
         done
     }
 
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -18,6 +18,7 @@
 use tokio::task::AbortHandle;
 
 use super::gate::Gate;
+use crate::memory::BufferPermit;
 use crate::socket::Socket;
 
 pub use super::gate::WriteCheck;
@@ -26,22 +27,33 @@
 /// same time, and hyper's own limit of about 400 KB for each would exceed the memory of a small deployment.
 const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 
-/// Counts a socket against the process's socket budget until it is dropped.
+/// Counts a socket against the process's socket budget until it is dropped, and its buffers against the memory budget.
 #[derive(Debug)]
-pub struct Permit(Rc<Cell<usize>>);
+pub struct Permit {
+    sockets: Rc<Cell<usize>>,
+    buffers: Option<BufferPermit>,
+}
 
 impl Permit {
     /// Adds a socket to the counter `sockets`; dropping the permit subtracts it.
     #[must_use]
     pub fn of(sockets: &Rc<Cell<usize>>) -> Self {
         sockets.set(sockets.get() + 1);
-        Self(Rc::clone(sockets))
+        Self { sockets: Rc::clone(sockets), buffers: None }
+    }
+
+    /// Adds the buffers that the socket's connection has.
+    #[must_use]
+    pub(super) fn with_buffers(self, buffers: BufferPermit) -> Self {
+        let mut permit = self;
+        permit.buffers = Some(buffers);
+        permit
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.sockets.set(self.sockets.get() - 1);
     }
 }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -20,6 +20,7 @@
 use super::connection::{Connection, Permit, handshake};
 use super::host::{BackgroundDial, Connecting, IdleConnection};
 use super::idle_trust::IdleTrust;
+use crate::memory::Memory;
 
 pub use super::acquire_error::AcquireError;
 pub use super::host::Host;
@@ -39,6 +40,25 @@
 /// trip.
 const BACKGROUND_DIAL_TIMEOUT: Duration = Duration::from_millis(3500);
 
+/// What limits a pool.
+#[derive(Debug)]
+pub struct PoolLimits {
+    /// The connect timeout of the settings.
+    pub connect_timeout: Duration,
+    /// The keepalive time of the settings.
+    pub idle_timeout: Duration,
+    /// Number of sockets that the process may have open, see [`max_sockets`].
+    pub sockets: usize,
+    /// The budgets of the memory that peers can make the process hold.
+    pub memory: Memory,
+}
+
+/// The number of sockets that a process may have open if it may have `descriptors` descriptors.
+#[must_use]
+pub fn max_sockets(descriptors: usize) -> usize {
+    descriptors.saturating_sub(OTHER_DESCRIPTORS)
+}
+
 /// A snapshot of the state of a pool, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolStats {
@@ -64,6 +84,7 @@
     trust: RefCell<IdleTrust>,
     sockets: Rc<Cell<usize>>,
     max_sockets: usize,
+    memory: Memory,
     /// Called for each background dial that has connected.
     on_connected: Box<dyn Fn(EndpointId)>,
 }
@@ -75,14 +96,9 @@
 }
 
 impl Pool {
-    /// Creates an empty pool. `idle_timeout` is the keepalive time of the settings, `descriptors` the number of
-    /// descriptors that the process may have open.
-    pub fn new(
-        connect_timeout: Duration,
-        idle_timeout: Duration,
-        descriptors: usize,
-        on_connected: impl Fn(EndpointId) + 'static,
-    ) -> Rc<Self> {
+    /// Creates an empty pool. `on_connected` is called for each background dial that has connected.
+    pub fn new(limits: PoolLimits, on_connected: impl Fn(EndpointId) + 'static) -> Rc<Self> {
+        let PoolLimits { connect_timeout, idle_timeout, sockets: max_sockets, memory } = limits;
         let idle_limit = idle_timeout.mul_f64(IDLE_LIMIT_FRACTION);
         Rc::new(Self {
             hosts: RefCell::default(),
@@ -91,7 +107,8 @@
             idle_limit: Cell::new(idle_limit),
             trust: RefCell::new(IdleTrust::new(idle_limit)),
             sockets: Rc::default(),
-            max_sockets: descriptors.saturating_sub(OTHER_DESCRIPTORS),
+            max_sockets,
+            memory,
             on_connected: Box::new(on_connected),
         })
     }
@@ -102,6 +119,12 @@
         self.idle_limit.get()
     }
 
+    /// The budgets of the memory that peers can make the process hold.
+    #[must_use]
+    pub fn memory(&self) -> &Memory {
+        &self.memory
+    }
+
     /// Applies new settings. A connect in progress keeps its timeout.
     pub fn reconfigure(&self, connect_timeout: Duration, idle_timeout: Duration) {
         self.connect_timeout.set(connect_timeout);
@@ -133,7 +156,8 @@
         self.sockets.get() > self.max_sockets
     }
 
-    /// Takes a socket for a connection to an upstream from the budget; `None` if no socket is left. If only the sockets
+    /// Takes a socket for a connection to an upstream from the budget; `None` if no socket, or no memory for the buffers
+    /// of the connection, is left. If only the sockets
     /// left to clients (`CLIENT_RESERVE_DIVISOR`) remain, it first gives up a background dial or closes an idle
     /// connection.
     pub(super) fn permit(&self) -> Option<Permit> {
@@ -141,7 +165,15 @@
         if self.sockets.get() >= limit {
             self.close_unused();
         }
-        (self.sockets.get() < self.max_sockets).then(|| self.reserved_permit())
+        if self.memory.buffers_exhausted() && !self.close_unused() {
+            return None;
+        }
+        (self.sockets.get() < self.max_sockets).then(|| self.upstream_permit())
+    }
+
+    /// Counts a connection to an upstream without checking the budgets.
+    fn upstream_permit(&self) -> Permit {
+        self.reserved_permit().with_buffers(self.memory.count_upstream_buffers())
     }
 
     /// Gives up a background dial or, if there is none, closes the least recently used idle connection. Returns whether
@@ -303,7 +335,7 @@
     /// attempts, or none at all. The policy is notified of the connect even if the connection is not kept.
     async fn on_background_connect(&self, host: &Host, stream: TcpStream) {
         if host.idle.borrow().len() < host.waiting_attempts.get().max(1)
-            && let Ok(connection) = handshake(stream, self.reserved_permit()).await
+            && let Ok(connection) = handshake(stream, self.upstream_permit()).await
             && !host.closed.get()
         {
             host.add_idle(connection, Duration::ZERO);
--- a/crates/proxy/tests/memory_crowds.rs
+++ b/crates/proxy/tests/memory_crowds.rs
@@ -3,11 +3,12 @@
 
 mod common;
 
-use std::io::Write;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::Child;
+use std::sync::Barrier;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::*;
 
@@ -17,12 +18,16 @@
 const DESCRIPTORS: usize = 1024;
 /// Number of clients with a request: they use at most a third of the descriptors.
 const CLIENTS: usize = 340;
+/// Number of peers without a proper request, which may use nearly all descriptors.
+const PEERS: usize = 900;
 /// Largest body of a message.
 const BODY_BYTES: usize = 64 * 1024;
 /// Number of pieces in which a slow client sends or reads a message.
 const PIECES: usize = 12;
 /// Pause of a slow client between two pieces.
 const PAUSE: Duration = Duration::from_millis(100);
+/// Time within which a peer without a proper request must get an error or a close.
+const BAD_PEER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The program with the least memory limit and the most descriptors, and its upstreams.
 struct Crowded {
@@ -101,6 +106,13 @@
     }
 }
 
+/// Reads until the peer closes the connection, and returns whether it did so within `timeout` of `since`.
+fn is_closed_within(stream: &mut TcpStream, since: Instant, timeout: Duration) -> bool {
+    let mut buffer = [0; 1024];
+    while !matches!(stream.read(&mut buffer), Ok(0) | Err(_)) {}
+    since.elapsed() <= timeout
+}
+
 /// Guards against long requests that are written slowly, with long answers: 340 of them took the program to twice its
 /// memory limit, which it did not know of. Those for which there is no room are refused.
 #[test]
@@ -119,3 +131,30 @@
     assert!(count(200) >= CLIENTS / 10, "served: {}", count(200));
     program.assert_within_limit();
 }
+
+/// Guards against requests that stop half way and take the memory that others need: small requests are served
+/// meanwhile, and those that stopped get their error in time.
+#[test]
+fn requests_that_stop_half_way_stay_within_the_memory_limit() {
+    let program = Crowded::start(2);
+    let all_stopped = Barrier::new(PEERS + 1);
+    let results = thread::scope(|scope| {
+        let small = scope.spawn(|| {
+            all_stopped.wait();
+            let mut client = Client::connect(program.address);
+            (0..20).map(|_| client.ask("order", "small").status()).collect::<Vec<_>>()
+        });
+        let results = program.run(PEERS, |number| {
+            let mut client = Client::connect(program.address);
+            let connected_at = Instant::now();
+            client.send_bytes(order_head(number).as_bytes());
+            client.send_bytes(&[b'b'; BODY_BYTES / 2]);
+            all_stopped.wait();
+            is_closed_within(&mut client.0, connected_at, BAD_PEER_TIMEOUT)
+        });
+        assert_eq!(small.join().expect("the client does not panic"), [200; 20]);
+        results
+    });
+    assert!(results.iter().all(|&in_time| in_time), "each peer gets an error or a close in time");
+    program.assert_within_limit();
+}
