Begin nothing for a client whose end may be behind unread bytes

What callers saw: a client that closed its connection with much still unread had its request retried 0.30 and 0.60 s later; one that had ended its sending had all its further requests run, so that an id could run twice when it came again. Cause: 32 KiB are read ahead, and the end of the stream is behind what stays in the socket; the check before an attempt took 'no end seen' for 'connected'. For a crowd the same 32 KiB a connection, and heads of up to 32 KiB in hyper's buffer, had no common limit. Evidence: departed_clients.rs failed (2.6 MB behind a read whose attempts fail). Change: bytes read ahead and heads come out of one budget; while half of it is free a connection reads up to 4 MiB ahead, so that the end is seen. Where it is still unknown, an attempt begins only within 0.1 s of the last sign of the client, and a request behind unread bytes waits 10 ms for the reset that a closed client sends in reply to the answer before it. A head for which there is no room ends its connection. The fault library can limit send buffers.

--- a/crates/fault-injection/src/wrappers.rs
+++ b/crates/fault-injection/src/wrappers.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::descriptors::{self, EpollRegistration};
 use crate::faults::{self, Call, Fault, log_short};
+use crate::send_buffer;
 
 /// Returns the address of the C library function of this name.
 fn address_of(name: &CStr) -> usize {
@@ -130,6 +131,7 @@
     ) -> c_int);
     if descriptor >= 0 && descriptors::find(listener).is_some() {
         descriptors::record_opened(descriptor);
+        send_buffer::limit(descriptor);
     }
     descriptor
 }
--- a/crates/proxy/src/downstream/connection_set.rs
+++ b/crates/proxy/src/downstream/connection_set.rs
@@ -75,7 +75,7 @@
 
     /// Inserts an accepted client connection into the set.
     pub(super) fn insert(&self, stream: TcpStream) -> InsertedConnection {
-        let connection = Rc::new(ClientConnection::new(stream));
+        let connection = Rc::new(ClientConnection::new(stream, &self.event_loop.memory().read_ahead));
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         self.open.borrow_mut().insert(number, Rc::clone(&connection));
--- a/crates/proxy/src/downstream/connection_state.rs
+++ b/crates/proxy/src/downstream/connection_state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::memory::ByteBudget;
 use crate::socket::Socket;
 
 /// How long a connection that should close but has not carried a request waits for its first one. A client writes its
@@ -63,9 +64,9 @@
 }
 
 impl ClientConnection {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(stream: TcpStream, read_ahead: &ByteBudget) -> Self {
         Self {
-            socket: Socket::for_server(stream),
+            socket: Socket::for_server(stream, read_ahead),
             in_request: Cell::new(false),
             evicted: Cell::new(false),
             awaiting_answer: Cell::new(false),
--- a/crates/proxy/src/downstream/http.rs
+++ b/crates/proxy/src/downstream/http.rs
@@ -91,6 +91,7 @@
     /// Returns to the socket what hyper has read of a next request.
     fn drop(&mut self) {
         self.connection.buffered_since.set(None);
+        self.connection.socket.release_head_memory();
         if let Some(inner) = self.inner.take() {
             let unused = inner.into_parts().read_buf;
             if !unused.is_empty() {
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -15,11 +15,16 @@
 use super::connection_state::ClientConnection;
 use super::request::{BadRequest, read_request};
 use crate::event_loop::{AcceptedRequest, Answer, EventLoop, PendingAnswer};
+use crate::socket::Presence;
 
 /// How long past a request's deadline the event loop may still answer, before the request is answered as failed without
 /// it.
 const DECISION_GRACE: Duration = Duration::from_millis(10);
 
+/// How long a request behind unread bytes waits before it is handed to the event loop. The client may have closed the
+/// connection before the previous answer was written, and its reset is on its way.
+const RESET_DELAY: Duration = Duration::from_millis(10);
+
 /// How long past the time at which a drain needs its answers the body of a request may still arrive: even a body that
 /// arrives together with its head is read a moment after it.
 const LATE_BODY_GRACE: Duration = Duration::from_millis(50);
@@ -63,6 +68,9 @@
             }
             connection.socket.body_complete();
             connection.awaiting_answer.set(true);
+            if matches!(connection.socket.presence(), Presence::Unknown { .. }) {
+                sleep(RESET_DELAY).await;
+            }
             let answer = await_answer(event_loop, accepted).await;
             connection.awaiting_answer.set(false);
             answer_response(answer)
--- a/crates/proxy/src/event_loop/attempt_context.rs
+++ b/crates/proxy/src/event_loop/attempt_context.rs
@@ -35,6 +35,10 @@
         self.state.borrow().requests.is_client_waiting(request)
     }
 
+    fn may_begin_attempt(&self, request: RequestId) -> bool {
+        self.state.borrow().requests.may_begin_attempt(request)
+    }
+
     fn has_load_field(&self, name: &str) -> bool {
         self.names.load_fields.iter().any(|field| field == name)
     }
--- a/crates/proxy/src/request_table.rs
+++ b/crates/proxy/src/request_table.rs
@@ -10,9 +10,12 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::socket::WeakSocket;
+use crate::socket::{Presence, WeakSocket};
 use crate::upstream::Call;
 
+/// Time after a client's close within which an attempt may still begin.
+const DEPARTURE_GRACE: Duration = Duration::from_millis(100);
+
 /// The final answer to a client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -207,6 +210,18 @@
         request.is_some_and(|request| !request.client.has_ended())
     }
 
+    /// Whether an attempt of a request may begin: the request still awaits its answer, and its client is connected or has
+    /// been seen within [`DEPARTURE_GRACE`]. This reads the client's socket like [`Self::is_client_waiting`].
+    #[must_use]
+    pub fn may_begin_attempt(&self, id: RequestId) -> bool {
+        let request = self.requests.get(&id).filter(|request| request.is_unanswered());
+        request.is_some_and(|request| match request.client.presence() {
+            Presence::Connected => true,
+            Presence::Gone => false,
+            Presence::Unknown { last_seen } => last_seen.elapsed() <= DEPARTURE_GRACE,
+        })
+    }
+
     /// Sends a request its final answer and returns the number of its attempts; `None` if the request needs no answer.
     pub fn answer(&mut self, id: RequestId, answer: Answer) -> Option<usize> {
         let request = self.requests.get_mut(&id)?;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -2,6 +2,7 @@
 //! not, such as the peer's end of stream behind bytes that hyper has not read yet.
 
 mod framing;
+mod head_memory;
 mod peer_close;
 mod read_ahead;
 
@@ -21,13 +22,22 @@
 use tokio::time::{Instant, timeout};
 
 use framing::{HeadEnd, ReadLimit};
+use head_memory::HeadMemory;
 use peer_close::has_peer_closed;
 use read_ahead::{Oldest, ReadAhead};
 
+use crate::memory::ByteBudget;
+
 /// Largest number of bytes that are read from a socket, or delivered to hyper, at once.
 const SCRATCH_BYTES: usize = 4096;
 /// Maximum number of consecutive reads from one socket before other tasks may run.
 const READS_PER_TURN: usize = 16;
+/// Maximum number of reads to find out whether the peer has ended its stream.
+const READS_PER_CHECK: usize = 1024;
+/// Number of bytes that may be read ahead on a connection that this side has opened.
+const CLIENT_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Size from which the head of a request is not valid.
+const HEAD_MAX_BYTES: usize = 32 * 1024;
 
 /// A shared handle to a socket. The socket is closed when the last handle is dropped.
 #[derive(Debug, Clone)]
@@ -41,7 +51,13 @@
     reads_requests: bool,
     /// Bytes that have been read from the stream but not delivered to hyper yet.
     read_ahead: RefCell<ReadAhead>,
+    /// The size of the present head, and the memory that is reserved for it.
+    head_memory: RefCell<HeadMemory>,
     read_mode: Cell<ReadMode>,
+    /// Whether the socket had no unread bytes when it was last read.
+    read_to_end: Cell<bool>,
+    /// Latest time at which the peer is known to have been connected, while there have been unread bytes since.
+    last_seen: Cell<Instant>,
     /// Time at which bytes were first left unread in the socket; `None` if the socket has been read to its end since.
     unread_since: Cell<Option<Instant>>,
     /// Whether the runtime's record of readiness was cleared while bytes were left unread, so that it does not report
@@ -73,6 +89,20 @@
     Discard,
 }
 
+/// What is known of the peer of a socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presence {
+    /// The peer is connected.
+    Connected,
+    /// The peer has ended its stream, or the connection has broken.
+    Gone,
+    /// The end of the stream may be behind bytes that have not been read.
+    Unknown {
+        /// Latest time at which the peer is known to have been connected.
+        last_seen: Instant,
+    },
+}
+
 /// What a socket has for its reader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Input {
@@ -87,6 +117,12 @@
 pub struct WeakSocket(Weak<Shared>);
 
 impl WeakSocket {
+    /// What is known of the peer; [`Presence::Gone`] if the socket has been closed on this side.
+    #[must_use]
+    pub fn presence(&self) -> Presence {
+        self.0.upgrade().map_or(Presence::Gone, |shared| Socket(shared).presence())
+    }
+
     /// Whether the peer has disconnected (see [`Socket::has_ended`]) or the socket has been closed on this side.
     #[must_use]
     pub fn has_ended(&self) -> bool {
@@ -99,23 +135,29 @@
     /// be lost when the connection is closed. A failure to set the option is ignored.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
-        Self::with_limit(stream, false, ReadLimit::Unlimited)
+        Self::with_limit(stream, None, ReadLimit::Unlimited)
     }
 
     /// Wraps an accepted stream like [`Self::new`], for a server that reads one request at a time. The server must call
-    /// [`Self::head_complete`] and [`Self::response_ready`] for each request.
+    /// [`Self::head_complete`] and [`Self::response_ready`] for each request. `budget` limits the bytes that are read ahead
+    /// and the heads of all such sockets.
     #[must_use]
-    pub fn for_server(stream: TcpStream) -> Self {
-        Self::with_limit(stream, true, ReadLimit::ToHeadEnd(HeadEnd::default()))
+    pub fn for_server(stream: TcpStream, budget: &ByteBudget) -> Self {
+        Self::with_limit(stream, Some(budget), ReadLimit::ToHeadEnd(HeadEnd::default()))
     }
 
-    fn with_limit(stream: TcpStream, reads_requests: bool, limit: ReadLimit) -> Self {
+    fn with_limit(stream: TcpStream, budget: Option<&ByteBudget>, limit: ReadLimit) -> Self {
+        let reads_requests = budget.is_some();
+        let budget = budget.cloned().unwrap_or_else(|| ByteBudget::new(CLIENT_READ_AHEAD_BYTES));
         // A connection on which the option cannot be set is still usable.
         let _ = stream.set_nodelay(true);
         Self(Rc::new(Shared {
             stream: RefCell::new(stream),
             reads_requests,
-            read_ahead: RefCell::default(),
+            read_ahead: RefCell::new(ReadAhead::new(budget.clone())),
+            head_memory: RefCell::new(HeadMemory::new(&budget)),
+            read_to_end: Cell::new(true),
+            last_seen: Cell::new(Instant::now()),
             read_mode: Cell::new(ReadMode::Ahead),
             unread_since: Cell::new(None),
             readiness_cleared: Cell::new(false),
@@ -131,6 +173,7 @@
     /// Records that the head of a request has been read, and the length of its body if that is known.
     pub fn head_complete(&self, body: Option<u64>) {
         self.0.head_since.set(None);
+        self.0.head_memory.borrow_mut().end_head();
         self.0.limit.replace(body.map_or(ReadLimit::Unlimited, ReadLimit::Bytes));
     }
 
@@ -233,20 +276,40 @@
         WeakSocket(Rc::downgrade(&self.0))
     }
 
+    /// What is known of the peer. It asks the kernel like [`Self::has_ended`].
+    #[must_use]
+    pub fn presence(&self) -> Presence {
+        if self.has_ended() {
+            Presence::Gone
+        } else if self.0.read_to_end.get() {
+            Presence::Connected
+        } else {
+            Presence::Unknown { last_seen: self.0.last_seen.get() }
+        }
+    }
+
+    /// Gives up the memory that is reserved for heads, because hyper has none any more.
+    pub fn release_head_memory(&self) {
+        self.0.head_memory.borrow_mut().release();
+    }
+
     /// Whether the peer has ended its stream or the connection has broken. It asks the kernel directly, because the
     /// readiness that the runtime last recorded may be out of date. Bytes before the end are read ahead for hyper; those
     /// for which there is no room stay in the socket.
     #[must_use]
     pub fn has_ended(&self) -> bool {
         let mut scratch = [0; SCRATCH_BYTES];
-        for _ in 0..READS_PER_TURN {
+        for _ in 0..READS_PER_CHECK {
             let size = self.read_ahead_size();
             if size == 0 {
                 return has_peer_closed(&*self.0.stream.borrow());
             }
             match self.receive_now(&mut scratch[..size]) {
                 Ok(0) => return true,
-                Ok(bytes) => self.store_read_ahead(&scratch[..bytes]),
+                Ok(bytes) => {
+                    self.note_received();
+                    self.store_read_ahead(&scratch[..bytes]);
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.note_read_to_end();
                     return false;
@@ -305,6 +368,13 @@
         }
     }
 
+    /// Notes that bytes have been read: the peer was connected when the first ones since the socket was last empty came.
+    fn note_received(&self) {
+        if self.0.read_to_end.replace(false) {
+            self.0.last_seen.set(Instant::now());
+        }
+    }
+
     /// Clears the runtime's record of readiness and notes since when bytes have been left unread.
     fn leave_unread(&self) {
         // An operation that would block makes the runtime clear the record.
@@ -320,6 +390,7 @@
     fn note_read_to_end(&self) {
         self.0.unread_since.set(None);
         self.0.readiness_cleared.set(false);
+        self.0.read_to_end.set(true);
     }
 
     /// The time at which bytes that were read at `now` arrived, or an earlier time if they may have been left unread.
@@ -333,13 +404,14 @@
         let read_ahead = self.0.read_ahead.borrow();
         // Otherwise the head may have been delivered already, so that these bytes are a part of its body.
         let starts_with_head = !self.0.delivered_beyond_request.get();
-        starts_with_head && read_ahead.free_bytes() == 0 && !framing::contains_head(read_ahead.bytes())
+        let bytes = read_ahead.bytes();
+        starts_with_head && bytes.len() >= HEAD_MAX_BYTES && !framing::contains_head(&bytes[..HEAD_MAX_BYTES])
     }
 
     /// Discards what has been read ahead and all that is read from now on.
     fn discard_all(&self) {
         self.0.read_mode.set(ReadMode::Discard);
-        self.0.read_ahead.take();
+        self.0.read_ahead.borrow_mut().clear();
     }
 
     /// Number of bytes that may be read at once before hyper asks for them.
@@ -348,7 +420,7 @@
             self.discard_all();
         }
         match self.0.read_mode.get() {
-            ReadMode::Ahead => self.0.read_ahead.borrow().free_bytes().min(SCRATCH_BYTES),
+            ReadMode::Ahead => self.0.read_ahead.borrow_mut().make_room(SCRATCH_BYTES),
             ReadMode::OnDemand => 0,
             ReadMode::Discard => SCRATCH_BYTES,
         }
@@ -382,6 +454,9 @@
             self.0.head_since.set(Some(now));
             self.0.head_begins.notify_waiters();
         }
+        if advance.in_head {
+            self.0.head_memory.borrow_mut().add(advance.bytes);
+        }
         advance.bytes
     }
 
@@ -419,6 +494,10 @@
     /// from the end of the previous answer.
     fn note_write(&self, done: &Poll<io::Result<usize>>) {
         self.0.write_blocked.set(done.is_pending());
+        if matches!(done, Poll::Ready(Ok(_))) {
+            // If the peer had closed the connection, it would answer with a reset.
+            self.0.last_seen.set(Instant::now());
+        }
         if matches!(done, Poll::Ready(Ok(_))) && self.head_since().is_some() {
             self.0.head_since.set(Some(Instant::now()));
         }
@@ -447,6 +526,7 @@
         if self.0.readiness_cleared.get() {
             match self.receive_now(buffer.initialize_unfilled()) {
                 Ok(bytes) => {
+                    self.note_received();
                     buffer.advance(bytes);
                     return Poll::Ready(Ok(()));
                 }
@@ -458,6 +538,8 @@
         let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(context, buffer);
         if done.is_pending() {
             self.note_read_to_end();
+        } else {
+            self.note_received();
         }
         done
     }
@@ -478,6 +560,9 @@
         }
         let is_in_body = matches!(*self.0.limit.borrow(), ReadLimit::Unlimited);
         self.0.delivered_beyond_request.set(is_in_body);
+        if !self.0.head_memory.borrow_mut().reserve() {
+            return Poll::Ready(Err(io::Error::other("no memory is left for the head of a request")));
+        }
         if self.0.read_ahead.borrow().is_empty() {
             self.poll_deliver(context, buffer)
         } else {
--- a/crates/proxy/src/socket/read_ahead.rs
+++ b/crates/proxy/src/socket/read_ahead.rs
@@ -6,19 +6,27 @@
 use bytes::{Buf, BytesMut};
 use tokio::time::Instant;
 
-/// Largest number of bytes that are read ahead on a socket. Further bytes stay in the socket.
-pub(super) const READ_AHEAD_MAX_BYTES: usize = 32 * 1024;
+use crate::memory::{ByteBudget, ByteReservation, UNCOUNTED_BYTES};
+
+/// Number of bytes that are read ahead on a socket as long as the budget has room.
+const READ_AHEAD_BYTES: usize = 32 * 1024;
+/// Number of bytes that are read ahead on a socket while at least half of the budget is free, so that the end of the
+/// connection is noticed behind many requests.
+const READ_AHEAD_MAX_BYTES: usize = 4 * 1024 * 1024;
 /// Bytes that arrive within this time of each other count as having arrived together.
 const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(5);
 /// Largest number of arrival times that are kept. Bytes that arrive later count as having arrived at the last of them.
 const MAX_ARRIVALS: usize = 64;
 
 /// A buffer of bytes that have been read ahead. Bytes never count as having arrived later than they did.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ReadAhead {
     bytes: BytesMut,
     /// The arrivals of all bytes in the buffer, oldest first.
     arrivals: VecDeque<Arrival>,
+    budget: ByteBudget,
+    /// Counts the most bytes that the buffer has held since it was last empty.
+    reservation: ByteReservation,
 }
 
 /// A number of bytes that arrived together.
@@ -36,6 +44,11 @@
 }
 
 impl ReadAhead {
+    pub(super) fn new(budget: ByteBudget) -> Self {
+        let reservation = budget.reservation();
+        Self { bytes: BytesMut::new(), arrivals: VecDeque::new(), budget, reservation }
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.bytes.is_empty()
     }
@@ -44,9 +57,22 @@
         &self.bytes
     }
 
-    /// Number of bytes that may still be read ahead.
-    pub(super) fn free_bytes(&self) -> usize {
-        READ_AHEAD_MAX_BYTES.saturating_sub(self.bytes.len())
+    /// Makes room for at most `step` further bytes, and returns for how many there is room: none if further bytes are to
+    /// stay in the socket.
+    pub(super) fn make_room(&mut self, step: usize) -> usize {
+        let length = self.bytes.len();
+        if length < UNCOUNTED_BYTES {
+            return step.min(UNCOUNTED_BYTES - length);
+        }
+        let may_grow =
+            length < READ_AHEAD_BYTES || (length < READ_AHEAD_MAX_BYTES && self.budget.is_half_free());
+        let needed = length + step - UNCOUNTED_BYTES;
+        if may_grow && self.reservation.try_grow_to(needed) { step } else { 0 }
+    }
+
+    /// Discards all bytes.
+    pub(super) fn clear(&mut self) {
+        *self = Self::new(self.budget.clone());
     }
 
     /// Appends bytes that arrived at the given time.
@@ -83,7 +109,7 @@
         }
         // The memory is freed so that idle connections do not hold it.
         if self.bytes.is_empty() {
-            *self = Self::default();
+            self.clear();
         }
     }
 }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -60,7 +60,7 @@
 
 impl<C: AttemptContext> WriteCheck for AttemptWriteCheck<C> {
     fn time_left_to_begin(&self) -> Option<Duration> {
-        let may_begin = self.refusal().is_none() && self.context.is_client_waiting(self.request);
+        let may_begin = self.refusal().is_none() && self.context.may_begin_attempt(self.request);
         may_begin.then(|| self.attempt_deadline.saturating_duration_since(Instant::now()))
     }
 
--- a/crates/proxy/src/upstream/context.rs
+++ b/crates/proxy/src/upstream/context.rs
@@ -33,6 +33,10 @@
     /// the runtime having noticed yet. Bytes that it takes out of the socket are stored and later passed to hyper.
     fn is_client_waiting(&self, request: RequestId) -> bool;
 
+    /// Whether an attempt of a request may begin now: the request needs an answer, and its client is connected as far as
+    /// that is known. This reads the client's socket like [`Self::is_client_waiting`].
+    fn may_begin_attempt(&self, request: RequestId) -> bool;
+
     /// Whether the settings define a load report field of this name.
     fn has_load_field(&self, name: &str) -> bool;
 
--- a/crates/proxy/tests/common/process.rs
+++ b/crates/proxy/tests/common/process.rs
@@ -1,5 +1,6 @@
 //! The balancer program as a separate process: starting it, sending it signals and reading its log.
 
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -34,10 +35,16 @@
 
 /// Starts the program with an existing configuration file and a limit of `descriptors` open files.
 pub fn program_with_file(descriptors: usize, file: &Path) -> Child {
+    program_with_environment(descriptors, file, &[])
+}
+
+/// Starts the program like [`program_with_file`], with further environment variables.
+pub fn program_with_environment(descriptors: usize, file: &Path, variables: &[(&str, &OsStr)]) -> Child {
     Command::new("/bin/sh")
         .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\""), env!("CARGO_BIN_EXE_balancer-proxy")])
         .env_clear()
         .env("PROXY_CONFIG", file)
+        .envs(variables.iter().copied())
         // A failed test leaves the program running, which must not keep the test's own output open.
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -14,6 +14,8 @@
 const ORDERS: usize = 40;
 /// Body size of an order behind the first request.
 const ORDER_BYTES: usize = 64 * 1024;
+/// Least memory limit of a deployment: with it, less is read ahead than the client sends.
+const MEMORY_LIMIT_MB: u32 = 32;
 /// How long the upstream takes for a request.
 const WORK: Duration = Duration::from_millis(300);
 /// Time after a client's close within which an attempt may still begin.
@@ -44,7 +46,7 @@
 /// ended its sending with much still unread: an id would run twice if the client came again.
 #[test]
 fn nothing_begins_for_a_client_that_left_behind_much_unread() {
-    for closes in [true, false] {
+    for (closes, memory_limit) in [(true, None), (true, Some(MEMORY_LIMIT_MB)), (false, None)] {
         let upstreams: Vec<_> = (0..3).map(|_| failing_reads()).collect();
         let known: Vec<_> = (0..)
             .zip(&upstreams)
@@ -52,7 +54,10 @@
                 endpoint(&format!("s-{number}"), upstream.address, number, "ready")
             })
             .collect();
-        let (balancer, _discovery) = Balancer::with(&known, 30.0);
+        let discovery = Discovery::start();
+        let text = configuration(discovery.address, &known, 30.0, 1024);
+        let balancer =
+            Balancer::start(&memory_limit.map_or(text.clone(), |limit| with_memory_limit(&text, limit)));
         let mut client = Some(balancer.client());
         let connection = client.as_mut().expect("the client is connected");
         connection.send_bytes(&read_and_orders());
@@ -72,6 +77,9 @@
             .filter_map(|at| at.checked_duration_since(left_at))
             .filter(|late| *late > DEPARTURE_SLACK)
             .collect();
-        assert!(late.is_empty(), "closed: {closes}, attempts began {late:?} after the client had left");
+        assert!(
+            late.is_empty(),
+            "closed: {closes}, limit: {memory_limit:?}, attempts began {late:?} after the client had left"
+        );
     }
 }
--- a/crates/proxy/tests/memory_crowds.rs
+++ b/crates/proxy/tests/memory_crowds.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::ffi::OsStr;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::Child;
@@ -10,7 +11,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::faults::library;
 use common::*;
+use socket2::SockRef;
 
 /// Least memory limit of a deployment.
 const MEMORY_LIMIT_MB: u32 = 32;
@@ -40,6 +43,11 @@
 impl Crowded {
     /// Starts the program with upstreams that answer each request with a body of this size.
     fn start(answer_bytes: usize) -> Self {
+        Self::start_with(answer_bytes, &[])
+    }
+
+    /// Starts the program like [`Self::start`], with further environment variables.
+    fn start_with(answer_bytes: usize, variables: &[(&str, &OsStr)]) -> Self {
         let answer = "a".repeat(answer_bytes);
         let upstreams: Vec<_> = (0..6)
             .map(|_| {
@@ -50,7 +58,7 @@
         let discovery = Discovery::start();
         let text = configuration(discovery.address, &endpoints_in_own_groups(&upstreams), 30.0, DESCRIPTORS);
         let text = with_memory_limit(&text, MEMORY_LIMIT_MB);
-        let mut child = program_with_descriptor_limit(DESCRIPTORS, &text);
+        let mut child = program_with_environment(DESCRIPTORS, &write_configuration(&text), variables);
         let (address, log) = address(&mut child);
         // The log is read so that the program is not told of a reader that has gone.
         thread::spawn(move || std::io::copy(&mut { log }, &mut std::io::sink()));
@@ -158,3 +166,69 @@
     assert!(results.iter().all(|&in_time| in_time), "each peer gets an error or a close in time");
     program.assert_within_limit();
 }
+
+/// Guards against heads that never end, of very many short fields and of one long one: 900 of them are closed in time.
+#[test]
+fn endless_heads_stay_within_the_memory_limit() {
+    let fields = "a:b\r\n".repeat(6_000);
+    let few_fields = "a:b\r\n".repeat(90);
+    let long_field = format!("X-Padding: {}", "p".repeat(30_000));
+    for rest in [fields, few_fields, long_field] {
+        let program = Crowded::start(2);
+        let results = program.run(PEERS, |_| {
+            let mut client = Client::connect(program.address);
+            let connected_at = Instant::now();
+            // An error means that the program has answered and closed the connection already.
+            let _ = client.0.write_all(format!("GET /read HTTP/1.1\r\nHost: a\r\n{rest}").as_bytes());
+            is_closed_within(&mut client.0, connected_at, BAD_PEER_TIMEOUT)
+        });
+        assert!(results.iter().all(|&in_time| in_time), "each peer gets an error or a close in time");
+        assert_eq!(Client::connect(program.address).ask("order", "small").status(), 200);
+        program.assert_within_limit();
+    }
+}
+
+/// Guards against requests that are sent at once by a crowd: what is read ahead is limited for all clients together, and
+/// each request is answered.
+#[test]
+fn requests_sent_at_once_by_a_crowd_stay_within_the_memory_limit() {
+    const REQUESTS_AT_ONCE: usize = 40;
+    const ORDER_BYTES: usize = 4 * 1024;
+    let program = Crowded::start(2);
+    let answered = program.run(CLIENTS, |number| {
+        let mut client = Client::connect(program.address);
+        let order = order_named(&format!("{number}"), ORDER_BYTES, 30.0, BodyFraming::Length);
+        client.send_bytes(&order.repeat(REQUESTS_AT_ONCE));
+        (0..REQUESTS_AT_ONCE)
+            .map(|_| client.answer().expect("an answer before the connection ends").status())
+            .filter(|status| matches!(status, 200 | 503))
+            .count()
+    });
+    assert_eq!(answered.iter().sum::<usize>(), CLIENTS * REQUESTS_AT_ONCE);
+    program.assert_within_limit();
+}
+
+/// Guards against long answers that are read slowly: those for which there is no room wait in the sockets of their
+/// upstreams, and all are passed on whole.
+#[test]
+fn slowly_read_long_answers_stay_within_the_memory_limit() {
+    const READ_BYTES: usize = 2 * 1024;
+    const READ_PAUSE: Duration = Duration::from_millis(20);
+    let library = library();
+    let variables = [("LD_PRELOAD", library.as_os_str()), ("FAULT_SEND_BUFFER", OsStr::new("4096"))];
+    let program = Crowded::start_with(BODY_BYTES, &variables);
+    let lengths = program.run(CLIENTS, |number| {
+        let mut client = Client::connect(program.address);
+        SockRef::from(&client.0).set_recv_buffer_size(READ_BYTES).expect("the socket option is set");
+        client.send_bytes(&request_with_deadline("order", &format!("{number}"), 30.0));
+        let mut received = 0;
+        let mut piece = [0; READ_BYTES];
+        while received < BODY_BYTES {
+            received += client.0.read(&mut piece).expect("the connection is open");
+            thread::sleep(READ_PAUSE);
+        }
+        received
+    });
+    assert!(lengths.iter().all(|&bytes| bytes >= BODY_BYTES));
+    program.assert_within_limit();
+}
