Log memory, why client connections close, and why a request is not accepted

The evidence could not say what a process held when it was killed, nor whether its clients were idle, slow or turned away: the line of counters has neither memory nor closes. Beside it, every 5 s, a line now gives resident memory and its peak, the limit, connections with buffers, bytes held for requests, answers and ahead, requests refused for want of memory, and client connections closed by each of eight reasons. The first request in that time whose head was valid and that is not accepted is named by its id, with the reason.

--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -16,6 +16,7 @@
 use super::shutdown::Phase;
 use crate::memory::BufferPermit;
 use crate::socket::{Input, Socket};
+use crate::telemetry::closes::CloseReason;
 
 /// How long a connection that is shut down waits for its client to close, while reading and discarding incoming bytes.
 /// Closing a socket with unread bytes resets the connection, and the client could lose the answer.
@@ -23,7 +24,8 @@
 
 /// Serves a client connection until it is closed.
 pub(super) async fn handle_connection(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) {
-    let end = serve_requests(connections, connection).await;
+    let Closing { end, reason } = serve_requests(connections, connection).await;
+    connections.event_loop().count_close(reason);
     if end == ConnectionEnd::Completed {
         // When sockets are scarce, it discards the bytes that have arrived but does not wait for the client to close.
         let sockets_scarce = connections.event_loop().pool().is_nearly_full();
@@ -32,37 +34,65 @@
     }
 }
 
+/// How a connection is closed, and why.
+struct Closing {
+    end: ConnectionEnd,
+    reason: CloseReason,
+}
+
+impl Closing {
+    /// The connection ended regularly, for this reason.
+    fn completed(reason: CloseReason) -> Self {
+        Self { end: ConnectionEnd::Completed, reason }
+    }
+}
+
 /// Serves the requests of a connection. It has HTTP buffers only while there is something to read, write or answer.
-async fn serve_requests(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) -> ConnectionEnd {
+async fn serve_requests(connections: &Rc<ConnectionSet>, connection: &Rc<ClientConnection>) -> Closing {
     let mut close_reason = pin!(wait_for_close_reason(connections, connection));
     loop {
         let buffers = tokio::select! {
             biased;
             buffers = buffers_for_input(connections, connection) => buffers,
-            () = close_reason.as_mut() => return close_idle(connections, connection).await,
-            () = connection.idle_overdue() => return ConnectionEnd::Completed,
+            reason = close_reason.as_mut() => {
+                let end = close_idle(connections, connection).await;
+                return Closing { end, reason };
+            }
+            () = connection.idle_overdue() => return Closing::completed(CloseReason::Idle),
         };
-        let Some(buffers) = buffers else { return ConnectionEnd::Completed };
+        let Some(buffers) = buffers else { return Closing::completed(CloseReason::ClientIdle) };
         let mut http = HttpConnection::new(connections, connection, buffers);
         let until = async {
             tokio::select! {
                 biased;
-                () = close_reason.as_mut() => Interruption::Close,
+                reason = close_reason.as_mut() => Interruption::Close(reason),
                 () = connection.buffers_unused() => Interruption::Idle,
             }
         };
         match http.serve_until(until).await {
-            Err(end) => return end,
-            Ok(Interruption::Close) => return close(http, None).await,
+            Err(end) => return Closing { reason: reason_of_end(&end, connection), end },
+            Ok(Interruption::Close(reason)) => {
+                let end = close(http, None).await;
+                return Closing { end, reason };
+            }
             Ok(Interruption::Idle) => {}
         }
     }
 }
 
+/// The reason for an end that HTTP came to by itself.
+fn reason_of_end(end: &ConnectionEnd, connection: &ClientConnection) -> CloseReason {
+    match end {
+        ConnectionEnd::ClientDisconnected => CloseReason::ClientInRequest,
+        ConnectionEnd::Completed if connection.socket.has_ended() => CloseReason::ClientIdle,
+        ConnectionEnd::Completed => CloseReason::Http,
+    }
+}
+
 /// Why serving requests on an HTTP connection is interrupted.
 enum Interruption {
     /// The client connection is to be closed.
-    Close,
+    Close(CloseReason),
     /// The client connection is idle, so that it needs no HTTP buffers.
     Idle,
 }
@@ -132,14 +162,14 @@
 
 /// Waits until there is a reason to close the connection once it is between requests. Cancel safe except that the
 /// notification of an eviction may be consumed; [`ClientConnection`] still records the eviction.
-async fn wait_for_close_reason(connections: &ConnectionSet, connection: &ClientConnection) {
+async fn wait_for_close_reason(connections: &ConnectionSet, connection: &ClientConnection) -> CloseReason {
     let mut phases = connections.phases();
     tokio::select! {
         // An error means that the program is shutting down.
-        _ = phases.wait_for(|&phase| phase == Phase::Closing) => {}
-        () = connection.evicted() => {}
-        () = connection.first_request_overdue() => {}
-        () = connection.head_overdue() => {}
+        _ = phases.wait_for(|&phase| phase == Phase::Closing) => CloseReason::Drain,
+        () = connection.evicted() => CloseReason::Evicted,
+        () = connection.first_request_overdue() => CloseReason::FirstRequest,
+        () = connection.head_overdue() => CloseReason::Head,
     }
 }
 
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -47,7 +47,7 @@
     #[error("refused, as the body came too slowly")]
     Abandoned,
     /// The request is valid and was read to its end, but there was no room to keep it.
-    #[error("refused")]
+    #[error("no memory is left for its body")]
     NoMemory,
 }
 
@@ -173,7 +173,8 @@
     let name_registry = event_loop.name_registry();
     let mut checked = head.check(&name_registry)?;
     let id = head.id.clone().ok_or(BadRequest::MissingRequestId)?;
-    let body = receive_body_unless(overdue, body, &event_loop.memory().request_bodies).await?;
+    let body = receive_body_unless(overdue, body, &event_loop.memory().request_bodies).await;
+    let body = body.inspect_err(|error| event_loop.log_unaccepted(&id, error))?;
     // The settings may have changed while the body was read; the request is accepted under the settings now in force.
     let latest = event_loop.name_registry();
     if !Rc::ptr_eq(&name_registry, &latest) {
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -10,6 +10,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use balancer_policy::interface::{DiscoveryMode, ListUpdate, Request, RequestId, SettingsError, Time};
 use balancer_policy::{Balancer, Event, Settings};
 use balancer_settings::{LoadedSettings, NameIndexes};
+use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
@@ -30,7 +32,9 @@
 use crate::pool::{Pool, PoolLimits, PoolStats};
 use crate::reconfiguration::{self, NameRegistry, Reconfigurable, ReconfigureError};
 use crate::request_table::RequestTable;
+use crate::telemetry::closes::CloseReason;
 use crate::telemetry::counters::{self, Counters};
+use crate::telemetry::process_memory::ProcessMemory;
 use crate::upstream::pool;
 
 pub use crate::request_table::{AcceptedRequest, Answer};
@@ -237,6 +241,26 @@
             endpoints.index(),
             balancer.stats_snapshot(),
         ));
+        let memory =
+            ProcessMemory::read().map_or_else(|| "not known".to_owned(), |memory| memory.to_string());
+        crate::log(format_args!(
+            "memory: {memory}, {}; client connections closed: {}",
+            self.memory().usage(),
+            counters.closes
+        ));
+    }
+
+    /// Logs why a request whose head was valid is not accepted, at most once between two lines of counters.
+    pub fn log_unaccepted(&self, id: &HeaderValue, reason: &impl Display) {
+        if !std::mem::replace(&mut self.state.borrow_mut().counters.unaccepted_logged, true) {
+            let id = id.to_str().unwrap_or("with an id that is no text");
+            crate::log(format_args!("request {id} was not accepted: {reason}"));
+        }
+    }
+
+    /// Counts a client connection that was closed.
+    pub fn count_close(&self, reason: CloseReason) {
+        self.state.borrow_mut().counters.closes.add(reason);
     }
 
     // --- Requests ---
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -10,6 +10,7 @@
 pub mod request_bodies;
 
 use std::cell::Cell;
+use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 
 pub use byte_budget::{ByteBudget, ByteReservation};
@@ -83,6 +84,7 @@
             request_bytes: self.request_bodies.reserved(),
             answer_bytes: self.answers.reserved(),
             read_ahead_bytes: self.read_ahead.reserved(),
+            dropped_bodies: self.request_bodies.dropped(),
         }
     }
 }
@@ -117,4 +119,25 @@
     pub answer_bytes: usize,
     /// Bytes reserved for bytes that are read ahead and for heads.
     pub read_ahead_bytes: usize,
+    /// Number of incomplete bodies that have been dropped since the start.
+    pub dropped_bodies: u64,
+}
+
+impl Display for MemoryUsage {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.limit_mb {
+            Some(megabytes) => write!(f, "limit {megabytes} MB")?,
+            None => write!(f, "no limit")?,
+        }
+        write!(
+            f,
+            "; {} connections with buffers, {} KiB of requests, {} KiB of answers, {} KiB read ahead; {} requests \
+             refused since the start for want of memory",
+            self.buffered_connections,
+            self.request_bytes / 1024,
+            self.answer_bytes / 1024,
+            self.read_ahead_bytes / 1024,
+            self.dropped_bodies,
+        )
+    }
 }
--- a/crates/proxy/src/telemetry/counters.rs
+++ b/crates/proxy/src/telemetry/counters.rs
@@ -6,6 +6,8 @@
 
 use balancer_policy::interface::Outcome;
 
+use super::closes::Closes;
+
 /// Time between two lines of counters. At this interval the log grows by a few bytes a second, however busy the
 /// balancer is.
 pub const LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -31,8 +33,12 @@
     pub opened: u32,
     /// Number of attempts that were reset on a connection that had been idle before since the last line of counters.
     pub reused_reset: u32,
+    /// Client connections that were closed since the last line of counters, by reason.
+    pub closes: Closes,
     /// Whether a failure to connect to an upstream has been logged since the last line of counters.
     pub unreachable_logged: bool,
+    /// Whether a request that was not accepted has been logged since the last line of counters.
+    pub unaccepted_logged: bool,
     /// Number of attempts that ended since the last line of counters, by [`Outcome`]. In the words of the line: good,
     /// error, full, rejected, late, unreached, not connected in time, reset, withdrawn, unsent.
     outcomes: [u32; 10],
@@ -65,6 +71,8 @@
             opened,
             reused_reset,
             unreachable_logged: _,
+            unaccepted_logged: _,
+            closes: _,
             outcomes,
             good_total,
             good_max,
