Read no further request of a client that does not take its answers

A client that sends many requests at once and does not read lost answers: 3,060 of 8,160 came (24 requests of each of 340 clients, answers of 4 KiB, small send buffers, nobody reads for 2 s). hyper goes on to the next head while answers wait to be written, holds several of them, and a head that it can't go on with counted as one that comes too slowly, so that the connection was closed. Change: while a write is blocked the head of the next request is not delivered, and the blocked write's end wakes the reader. memory_crowds.rs, unread_small_answers_stay_within_the_memory_limit: failed before as above, after all 8,160 are answered and the peak is 23.1 to 24.1 MB of 32.

--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -12,7 +12,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -70,6 +70,8 @@
     received_at: Cell<Instant>,
     /// Whether the latest write could not be completed at once, so that hyper may hold bytes to write.
     write_blocked: Cell<bool>,
+    /// Wakes the task whose read was postponed because a write was blocked.
+    postponed_read: RefCell<Option<Waker>>,
     /// How far hyper may read at present.
     limit: RefCell<ReadLimit>,
     /// When a partly received head began to be delivered to hyper, or when the last byte of the previous answer was
@@ -151,6 +153,7 @@
             delivered_beyond_request: Cell::new(false),
             received_at: Cell::new(Instant::now()),
             write_blocked: Cell::new(false),
+            postponed_read: RefCell::default(),
             limit: RefCell::new(limit),
             head_since: Cell::new(None),
             head_begins: Notify::new(),
@@ -244,6 +247,11 @@
         peeked.map(|peeked| if matches!(peeked, Ok(bytes) if bytes > 0) { Input::Bytes } else { Input::End })
     }
 
+    /// Whether the next bytes begin the head of a request.
+    fn awaits_head(&self) -> bool {
+        matches!(*self.0.limit.borrow(), ReadLimit::ToHeadEnd(_)) && self.head_since().is_none()
+    }
+
     /// Whether hyper holds bytes that it could not write yet. It is up to date after hyper has been polled.
     #[must_use]
     pub fn is_write_blocked(&self) -> bool {
@@ -371,6 +379,9 @@
         if matches!(done, Poll::Ready(Ok(_))) {
             // If the peer had closed the connection, it would answer with a reset.
             self.0.last_seen.set(Instant::now());
+            if let Some(reader) = self.0.postponed_read.take() {
+                reader.wake();
+            }
         }
         if matches!(done, Poll::Ready(Ok(_))) && self.head_since().is_some() {
             self.0.head_since.set(Some(Instant::now()));
@@ -434,6 +445,11 @@
         }
         let is_in_body = matches!(*self.0.limit.borrow(), ReadLimit::Unlimited);
         self.0.delivered_beyond_request.set(is_in_body);
+        if self.is_write_blocked() && self.awaits_head() {
+            // The next request is read once the client has taken the answers before it.
+            self.0.postponed_read.replace(Some(context.waker().clone()));
+            return Poll::Pending;
+        }
         if !self.0.head_memory.borrow_mut().reserve() {
             return Poll::Ready(Err(io::Error::other("no memory is left for the head of a request")));
         }
--- a/crates/proxy/tests/memory_crowds.rs
+++ b/crates/proxy/tests/memory_crowds.rs
@@ -232,3 +232,29 @@
     assert!(lengths.iter().all(|&bytes| bytes >= BODY_BYTES));
     program.assert_within_limit();
 }
+
+/// Guards against many small answers that nobody reads: further requests of such a client are not begun before it has
+/// taken the answers to those before them, and it has all answers in the end.
+#[test]
+fn unread_small_answers_stay_within_the_memory_limit() {
+    const REQUESTS_AT_ONCE: usize = 24;
+    const ANSWER_BYTES: usize = 4 * 1024;
+    let library = library();
+    let variables = [("LD_PRELOAD", library.as_os_str()), ("FAULT_SEND_BUFFER", OsStr::new("4096"))];
+    let program = Crowded::start_with(ANSWER_BYTES, &variables);
+    let all_sent = Barrier::new(CLIENTS);
+    let answered = program.run(CLIENTS, |number| {
+        let mut client = Client::connect(program.address);
+        SockRef::from(&client.0).set_recv_buffer_size(2048).expect("the socket option is set");
+        let order = order_named(&format!("{number}"), 64, 30.0, BodyFraming::Length);
+        client.send_bytes(&order.repeat(REQUESTS_AT_ONCE));
+        all_sent.wait();
+        // Nobody reads for a while.
+        thread::sleep(Duration::from_secs(2));
+        (0..REQUESTS_AT_ONCE)
+            .filter(|_| matches!(client.answer().map(|answer| answer.status()), Some(200 | 503)))
+            .count()
+    });
+    assert_eq!(answered.iter().sum::<usize>(), CLIENTS * REQUESTS_AT_ONCE);
+    program.assert_within_limit();
+}
