--- a/crates/proxy/src/request_table.rs
+++ b/crates/proxy/src/request_table.rs
@@ -211,7 +211,7 @@
     }
 
     /// Whether an attempt of a request may begin: the request still awaits its answer, and its client is connected or has
-    /// been seen within [`DEPARTURE_GRACE`]. This reads the client's socket like [`Self::is_client_waiting`].
+    /// been seen within the last 0.1 s. This reads the client's socket like [`Self::is_client_waiting`].
     #[must_use]
     pub fn may_begin_attempt(&self, id: RequestId) -> bool {
         let request = self.requests.get(&id).filter(|request| request.is_unanswered());
