--- a/review/play-2/load.rs
+++ b/review/play-2/load.rs
@@ -26,7 +26,7 @@
 }
 
 impl Load {
-    /// Each of `clients` clients sends a request every `pause`, or once the one before is answered.
+    /// Each of `clients` clients sends a request every `pause` in the mean, or once the one before is answered.
     pub fn start(
         record: &Record,
         site: &'static Site,
@@ -41,13 +41,18 @@
                 thread::spawn(move || {
                     let mut client = Client::new(address);
                     thread::sleep(pause.mul_f64(number as f64 / clients as f64));
-                    let mut next = Instant::now();
+                    let (mut next, mut draw) = (Instant::now(), number as u64 + 1);
                     for count in 0.. {
                         if stop.load(Ordering::SeqCst) {
                             return;
                         }
                         ask(&record, site, &mut client, &format!("c{number}-{count:05}"), &answers);
-                        next = (next + pause).max(Instant::now());
+                        // Drawn between half of the pause and one and a half of it, so that clients keep no step.
+                        draw = draw
+                            .wrapping_mul(6_364_136_223_846_793_005)
+                            .wrapping_add(1_442_695_040_888_963_407);
+                        let part = 0.5 + (draw >> 40) as f64 / (1u64 << 24) as f64;
+                        next = (next + pause.mul_f64(part)).max(Instant::now());
                         thread::sleep(next.saturating_duration_since(Instant::now()));
                     }
                 })
