--- a/review/play-2/process.rs
+++ b/review/play-2/process.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -54,6 +55,8 @@
         let file = |path: &Path| File::options().create(true).append(true).open(path);
         let output = log.with_extension("out");
         command.stdin(Stdio::null()).stdout(file(&output)?).stderr(file(&log)?);
+        // A group of its own: where the shell that began the case ends, the system would wake a stopped member of its group.
+        command.process_group(0);
         let child = command.spawn().map_err(|error| format!("{command:?}: {error}"))?;
         Ok(Self { child, log, output })
     }
